--- /dev/null
+++ b/scripts/test.sh
@@ -0,0 +1,14 @@
+#!/usr/bin/env bash
+# Installs what is missing, builds, and runs all checks: format, lint, unit tests and process
+# tests, then unit tests under address+undefined and thread sanitizers.
+# Tests listed in KNOWN-RED.txt are passed over and printed.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+scripts/install.sh
+scripts/build.sh plain
+scripts/lint.sh
+ctest --test-dir build --output-on-failure
+scripts/build.sh asan
+ctest --test-dir build-asan --output-on-failure
+scripts/build.sh tsan
+ctest --test-dir build-tsan --output-on-failure
--- /dev/null
+++ b/src/base/log.cpp
@@ -0,0 +1,98 @@
+#include "base/log.h"
+
+#include "absl/strings/escaping.h"
+#include "absl/strings/str_format.h"
+
+#include <log4cplus/consoleappender.h>
+#include <log4cplus/initializer.h>
+#include <log4cplus/layout.h>
+#include <log4cplus/logger.h>
+#include <log4cplus/loggingmacros.h>
+
+#include <array>
+#include <memory>
+
+namespace toucan {
+
+namespace {
+
+struct LevelRow {
+  std::string_view Name;
+  LogLevel Level;
+  int Log4cplusLevel;
+};
+
+constexpr std::array<LevelRow, 4> Levels = {{
+    {"debug", LogLevel::Debug, log4cplus::DEBUG_LOG_LEVEL},
+    {"info", LogLevel::Info, log4cplus::INFO_LOG_LEVEL},
+    {"warn", LogLevel::Warn, log4cplus::WARN_LOG_LEVEL},
+    {"error", LogLevel::Error, log4cplus::ERROR_LOG_LEVEL},
+}};
+
+const LevelRow &row(LogLevel Level) { return Levels[static_cast<size_t>(Level)]; }
+
+std::unique_ptr<log4cplus::Initializer> Library;
+std::string InstancePair;
+
+log4cplus::Logger &logger() {
+  static log4cplus::Logger Root = log4cplus::Logger::getInstance("toucanrun");
+  return Root;
+}
+
+bool needsQuotes(std::string_view Text) {
+  return Text.empty() || Text.find_first_of(" \"=\n\r\t\\") != std::string_view::npos;
+}
+
+} // namespace
+
+Result<void> startLogging(const LogOptions &Options) {
+  for (const LevelRow &Row : Levels) {
+    if (Row.Name != Options.Level)
+      continue;
+    Library = std::make_unique<log4cplus::Initializer>();
+    // Immediate flush, to standard error.
+    log4cplus::SharedAppenderPtr Console(new log4cplus::ConsoleAppender(true, true));
+    Console->setLayout(
+        std::make_unique<log4cplus::PatternLayout>("time=%D{%Y-%m-%dT%H:%M:%S.%q}Z level=%p %m%n"));
+    logger().setAdditivity(false);
+    logger().removeAllAppenders();
+    logger().addAppender(Console);
+    logger().setLogLevel(Row.Log4cplusLevel);
+    InstancePair = Options.Instance.empty() ? "" : absl::StrCat(" instance=", Options.Instance);
+    return {};
+  }
+  return failure(
+      absl::StrFormat("log level \"%s\" is not one of debug, info, warn, error", Options.Level));
+}
+
+void stopLogging() {
+  if (!Library)
+    return;
+  logger().removeAllAppenders();
+  Library.reset();
+}
+
+// Without startLogging (unit tests) nothing is written.
+LogEvent::LogEvent(LogLevel Level, std::string_view Event)
+    : Level(Level), Enabled(Library && logger().isEnabledFor(row(Level).Log4cplusLevel)) {
+  if (this->Enabled)
+    this->Line = absl::StrFormat("event=%s%s", Event, InstancePair);
+}
+
+LogEvent &LogEvent::kv(std::string_view Key, std::string_view Value) {
+  if (!this->Enabled)
+    return *this;
+  absl::string_view Text(Value.data(), Value.size());
+  if (needsQuotes(Value))
+    absl::StrAppendFormat(&this->Line, " %s=\"%s\"", Key, absl::CEscape(Text));
+  else
+    absl::StrAppendFormat(&this->Line, " %s=%s", Key, Text);
+  return *this;
+}
+
+LogEvent::~LogEvent() {
+  if (this->Enabled)
+    logger().log(row(this->Level).Log4cplusLevel, this->Line);
+}
+
+} // namespace toucan
--- /dev/null
+++ b/src/base/log.h
@@ -0,0 +1,57 @@
+// Structured logs: one event a line, key=value pairs, through log4cplus.
+#ifndef TOUCAN_BASE_LOG_H
+#define TOUCAN_BASE_LOG_H
+
+#include "base/error.h"
+
+#include "absl/strings/str_cat.h"
+
+#include <string>
+#include <string_view>
+#include <type_traits>
+
+namespace toucan {
+
+enum class LogLevel { Debug, Info, Warn, Error };
+
+struct LogOptions {
+  std::string Level = "info"; // debug, info, warn or error
+  std::string Instance;       // added to each line as instance=
+};
+
+// Sends log lines to standard error. Fails on an unknown level.
+Result<void> startLogging(const LogOptions &Options);
+// Flushes and closes the appender.
+void stopLogging();
+
+// Builds one log line and writes it when destroyed:
+//   LogEvent(LogLevel::Info, "caller_open").kv("session", 7).kv("address", Address);
+class LogEvent {
+public:
+  LogEvent(LogLevel Level, std::string_view Event);
+  ~LogEvent();
+  LogEvent(const LogEvent &) = delete;
+  LogEvent &operator=(const LogEvent &) = delete;
+
+  // Adds a pair; text with a blank, quote, equals sign or control character is quoted.
+  LogEvent &kv(std::string_view Key, std::string_view Value);
+  LogEvent &kv(std::string_view Key, const char *Value) {
+    return this->kv(Key, std::string_view(Value));
+  }
+  template <class Number>
+  requires std::is_arithmetic_v<Number> LogEvent &kv(std::string_view Key, Number Value) {
+    if constexpr (std::is_same_v<Number, bool>)
+      return this->kv(Key, std::string_view(Value ? "true" : "false"));
+    else
+      return this->kv(Key, std::string_view(absl::StrCat(Value)));
+  }
+
+private:
+  LogLevel Level;
+  bool Enabled;
+  std::string Line;
+};
+
+} // namespace toucan
+
+#endif // TOUCAN_BASE_LOG_H
