--- a/scripts/lint.sh
+++ b/scripts/lint.sh
@@ -23,7 +23,7 @@
     rm -f "$stamp.out"
     touch "$stamp"
   else
-    cat "$stamp.out"
+    head -n 60 "$stamp.out"
     rm -f "$stamp.out"
     echo "lint failed: $file"
     return 1
