Serve callers: state machine of a session and its sockets

Cause: the entry duty was declared but not implemented.

Ruled out: lazy BEGIN and replay of settings on each target connection; both change what a target sees and need the pool to reset connections.

Change: one state machine for each caller with start-up, tokens, cancel keys, simple and extended protocol, transactions, retries and drain, and an epoll shell that carries out its actions. Statements that would leave state on a target connection are answered here or refused.

Conclusion: first version for integration.

--- /dev/null
+++ b/src/session/carried.cpp
@@ -0,0 +1,131 @@
+#include "session/carried.h"
+
+#include "absl/strings/ascii.h"
+#include "absl/strings/numbers.h"
+
+#include <algorithm>
+#include <array>
+
+namespace toucan::session {
+
+namespace {
+
+constexpr size_t MaxValueBytes = 256;
+
+struct Row {
+  std::string_view Name;
+  std::string_view Report; // name in ParameterStatus
+  std::string_view Default;
+  // Allowed values in lower case, separated by '|'; empty: any value.
+  std::string_view Allowed;
+};
+
+// Fixed rows hold the values that a target uses; another value would change answers.
+constexpr std::array<Row, 19> Rows = {{
+    {"application_name", "application_name", "", ""},
+    {"bytea_output", "", "hex", "hex"},
+    {"client_encoding", "client_encoding", "UTF8", "utf8|utf-8|unicode"},
+    {"client_min_messages", "", "notice", ""},
+    {"datestyle", "DateStyle", "ISO, MDY", "iso|iso, mdy|iso,mdy"},
+    {"default_transaction_isolation", "", "read committed", "read committed"},
+    {"default_transaction_read_only", "default_transaction_read_only", "off", "off|false|0"},
+    {"extra_float_digits", "", "1", "1|2|3"},
+    {"integer_datetimes", "integer_datetimes", "on", "on"},
+    {"intervalstyle", "IntervalStyle", "postgres", "postgres"},
+    {"lock_timeout", "", "0", "0"},
+    {"row_security", "", "on", "on"},
+    {"search_path", "", "\"$user\", public", "public|\"$user\", public|$user, public"},
+    {"server_encoding", "server_encoding", "UTF8", "utf8"},
+    {"server_version", "server_version", "15.0", "15.0"},
+    {"standard_conforming_strings", "standard_conforming_strings", "on", "on|true|1"},
+    {"statement_timeout", "", "0", ""},
+    {"timezone", "TimeZone", "UTC", "utc|etc/utc|gmt"},
+    {"toucanrun.request_id", "", "", ""},
+}};
+
+const Row *findRow(std::string_view Name) {
+  const auto *It =
+      std::find_if(Rows.begin(), Rows.end(), [&](const Row &R) { return R.Name == Name; });
+  return It == Rows.end() ? nullptr : &*It;
+}
+
+bool allowed(std::string_view List, std::string_view Value) {
+  if (List.empty())
+    return true;
+  while (true) {
+    size_t Bar = List.find('|');
+    if (List.substr(0, Bar) == Value)
+      return true;
+    if (Bar == std::string_view::npos)
+      return false;
+    List.remove_prefix(Bar + 1);
+  }
+}
+
+// Reads a timeout: milliseconds, or a number with one of the units of PostgreSQL.
+std::optional<absl::Duration> parseTimeout(const std::string &Text) {
+  size_t Digits = std::min(Text.find_first_not_of("0123456789"), Text.size());
+  int64_t Number = 0;
+  if (Digits == 0 || !absl::SimpleAtoi(Text.substr(0, Digits), &Number))
+    return std::nullopt;
+  std::string Unit = Text.substr(Digits);
+  absl::StripAsciiWhitespace(&Unit);
+  if (Unit.empty() || Unit == "ms")
+    return absl::Milliseconds(Number);
+  if (Unit == "s")
+    return absl::Seconds(Number);
+  if (Unit == "min")
+    return absl::Minutes(Number);
+  return Unit == "h" ? std::optional(absl::Hours(Number)) : std::nullopt;
+}
+
+} // namespace
+
+CarriedSettings::Outcome CarriedSettings::set(const std::string &Name, const std::string &Value) {
+  const Row *R = findRow(Name);
+  if (!R)
+    return Outcome::UnknownName;
+  std::string Lower = Value;
+  absl::AsciiStrToLower(&Lower);
+  bool Fits = Value.size() <= MaxValueBytes && Value.find('\0') == std::string::npos &&
+              allowed(R->Allowed, Lower);
+  if (!Fits || (Name == "statement_timeout" && !parseTimeout(Value)))
+    return Outcome::ValueNotCarried;
+  // A caller that sets the usual value by another spelling sees the usual spelling.
+  if (R->Allowed.empty() || Name == "extra_float_digits" || Name == "search_path")
+    this->Values[Name] = Value;
+  return Outcome::Done;
+}
+
+CarriedSettings::Outcome CarriedSettings::reset(const std::string &Name) {
+  if (Name == "all") {
+    this->resetAll();
+    return Outcome::Done;
+  }
+  if (!findRow(Name))
+    return Outcome::UnknownName;
+  this->Values.erase(Name);
+  return Outcome::Done;
+}
+
+std::optional<std::string> CarriedSettings::get(const std::string &Name) const {
+  const Row *R = findRow(Name);
+  if (!R)
+    return std::nullopt;
+  auto It = this->Values.find(Name);
+  return It == this->Values.end() ? std::string(R->Default) : It->second;
+}
+
+std::string_view CarriedSettings::reportName(const std::string &Name) {
+  const Row *R = findRow(Name);
+  return R ? R->Report : std::string_view();
+}
+
+absl::Duration CarriedSettings::statementTimeout() const {
+  auto It = this->Values.find("statement_timeout");
+  if (It == this->Values.end())
+    return absl::ZeroDuration();
+  return parseTimeout(It->second).value_or(absl::ZeroDuration());
+}
+
+} // namespace toucan::session
--- /dev/null
+++ b/src/session/entry_impl.cpp
@@ -0,0 +1,249 @@
+#include "session/entry_impl.h"
+
+#include <openssl/rand.h>
+#include <sys/epoll.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <array>
+#include <cerrno>
+
+namespace toucan::session {
+
+namespace {
+
+constexpr size_t ReadBytes = 64 * 1024;
+constexpr uint32_t HashShift = 16;
+
+void writeLog(const LogAction &One) {
+  LogEvent Event(One.Level, One.Event);
+  for (const auto &[Key, Value] : One.Pairs)
+    Event.kv(Key, Value);
+}
+
+uint32_t randomBits() {
+  std::array<unsigned char, sizeof(uint32_t)> Bytes{};
+  [[maybe_unused]] int Ok = RAND_bytes(Bytes.data(), Bytes.size());
+  assert(Ok == 1);
+  uint32_t Out = 0;
+  for (unsigned char B : Bytes)
+    Out = Out << 8 | B;
+  return Out;
+}
+
+} // namespace
+
+EntryService::Impl::Impl(Loop &InLoop, EntryOptions Options, member::SendFn Send, Metrics &Counters)
+    : InLoop(InLoop), Send(std::move(Send)), Counters(Counters), Common(std::move(Options)),
+      HashOfSelf(instanceHash(Common.Options.Self)), ReadBuffer(ReadBytes) {}
+
+EntryService::Impl::~Impl() {
+  this->closeListener();
+  for (TimerId Id : this->Timers)
+    this->InLoop.cancel(Id);
+  while (!this->Callers.empty())
+    this->removeCaller(this->Callers.begin()->first);
+}
+
+void EntryService::Impl::beginDrain(Instant Deadline) {
+  this->Common.Draining = true;
+  this->closeListener();
+  this->driveAll([](Machine &M, Actions &Out) { M.onDrain(Out); });
+  this->Timers.push_back(this->InLoop.at(Deadline, [this] {
+    this->driveAll([](Machine &M, Actions &Out) { M.onDrainDeadline(Out); });
+    // Callers that do not read their last bytes are not waited for.
+    while (!this->Callers.empty())
+      this->removeCaller(this->Callers.begin()->first);
+  }));
+}
+
+void EntryService::Impl::onEnvelope(const InstanceId &From, const proto::Envelope &Message) {
+  Instant Now = this->InLoop.now();
+  if (Message.has_chunk()) {
+    const proto::Chunk &C = Message.chunk();
+    this->drive(Machine::sessionOf(C.request_id()),
+                [&](Machine &M, Actions &Out) { M.onChunk(C, Now, Out); });
+  } else if (Message.has_done()) {
+    const proto::Done &D = Message.done();
+    uint32_t Session = Machine::sessionOf(D.request_id());
+    if (this->Callers.contains(Session)) {
+      this->drive(Session, [&](Machine &M, Actions &Out) { M.onDone(From, D, Now, Out); });
+    } else if (D.lease() != 0) {
+      // The caller has gone while its transaction was being opened.
+      proto::Envelope Release;
+      Release.mutable_release()->set_lease(D.lease());
+      this->Send(From, std::move(Release));
+    }
+  } else if (Message.has_cancel_caller()) {
+    this->onCancel(Message.cancel_caller().process_id(), Message.cancel_caller().secret_key(),
+                   false);
+  }
+}
+
+// Cancels the session with this key, or forwards the key to the instance that has issued it.
+void EntryService::Impl::onCancel(uint32_t ProcessId, uint32_t SecretKey, bool Forward) {
+  uint32_t Hash = SecretKey >> HashShift;
+  auto It = this->SessionOfProcess.find(ProcessId);
+  if (Hash == this->HashOfSelf && It != this->SessionOfProcess.end()) {
+    this->drive(It->second, [&](Machine &M, Actions &Out) {
+      if (M.options().SecretKey == SecretKey)
+        M.onCancel(this->InLoop.now(), Out);
+    });
+    return;
+  }
+  if (!Forward || !this->Common.View)
+    return;
+  for (const member::Member &M : this->Common.View->Members) {
+    if (M.Id == this->Common.Options.Self || instanceHash(M.Id) != Hash)
+      continue;
+    proto::Envelope Message;
+    Message.mutable_cancel_caller()->set_process_id(ProcessId);
+    Message.mutable_cancel_caller()->set_secret_key(SecretKey);
+    this->Send(M.Id, std::move(Message));
+  }
+}
+
+void EntryService::Impl::drive(uint32_t Session, const Event &Give) {
+  auto It = this->Callers.find(Session);
+  if (It == this->Callers.end())
+    return;
+  Caller &C = *It->second;
+  ++this->Driving;
+  Actions All;
+  Give(*C.M, All);
+  this->carryOut(C, All);
+  --this->Driving;
+  if (C.Broken || (C.Closing && C.Out.empty()))
+    this->removeCaller(Session);
+  while (this->Driving == 0 && !this->Deferred.empty()) {
+    auto Task = std::move(this->Deferred.front());
+    this->Deferred.pop_front();
+    Task();
+  }
+}
+
+void EntryService::Impl::driveAll(const Event &Give) {
+  std::vector<uint32_t> Sessions;
+  Sessions.reserve(this->Callers.size());
+  for (const auto &[Session, C] : this->Callers)
+    Sessions.push_back(Session);
+  for (uint32_t Session : Sessions)
+    this->drive(Session, Give);
+}
+
+void EntryService::Impl::deferOrRun(std::function<void()> Task) {
+  if (this->Driving > 0)
+    this->Deferred.push_back(std::move(Task));
+  else
+    Task();
+}
+
+// Carries out actions, and those that follow from them, then writes to the caller.
+void EntryService::Impl::carryOut(Caller &C, Actions &All) {
+  size_t Next = 0;
+  while (true) {
+    while (Next < All.size()) {
+      Action One = std::move(All[Next++]);
+      this->carryOutOne(C, One, All);
+    }
+    size_t Before = All.size();
+    this->flush(C, All);
+    if (All.size() == Before)
+      break;
+  }
+  if (!C.Broken)
+    this->rewatch(C);
+}
+
+void EntryService::Impl::carryOutOne(Caller &C, Action &One, Actions &All) {
+  if (auto *Write = std::get_if<WriteAction>(&One))
+    C.Out += Write->Bytes;
+  else if (auto *Sent = std::get_if<SendAction>(&One))
+    this->send(C, *Sent, All);
+  else if (std::holds_alternative<CloseAction>(One))
+    C.Closing = true;
+  else if (auto *Timer = std::get_if<TimerAction>(&One))
+    this->setTimer(C, Timer->At);
+  else if (auto *Count = std::get_if<CountAction>(&One))
+    this->Counters.count(Count->Of);
+  else if (auto *Latency = std::get_if<LatencyAction>(&One))
+    this->Counters.latency(rules::workClassName(Latency->Class), Latency->Elapsed);
+  else if (auto *Log = std::get_if<LogAction>(&One))
+    writeLog(*Log);
+  else if (auto *Cancel = std::get_if<CancelAction>(&One))
+    this->onCancel(Cancel->ProcessId, Cancel->SecretKey, true);
+  else if (auto *Pause = std::get_if<PauseAction>(&One))
+    C.Paused = Pause->Paused;
+}
+
+void EntryService::Impl::send(Caller &C, SendAction &One, Actions &All) {
+  uint64_t Exec = One.Message.has_exec() ? One.Message.exec().request_id() : 0;
+  bool Accepted = this->Send(One.To, std::move(One.Message));
+  if (!Accepted && Exec != 0)
+    C.M->onUnsent(Exec, this->InLoop.now(), All);
+}
+
+void EntryService::Impl::setTimer(Caller &C, Instant At) {
+  if (C.Timer)
+    this->InLoop.cancel(*C.Timer);
+  uint32_t Session = C.M->options().Session;
+  C.Timer = this->InLoop.at(At, [this, Session] {
+    this->drive(Session, [this](Machine &M, Actions &Out) { M.onTimer(this->InLoop.now(), Out); });
+  });
+}
+
+// Writes as much as the socket takes.
+void EntryService::Impl::flush(Caller &C, Actions &All) {
+  size_t Start = C.OutAt;
+  while (!C.Broken && C.OutAt < C.Out.size()) {
+    ssize_t Count =
+        ::send(C.Fd, C.Out.data() + C.OutAt, C.Out.size() - C.OutAt, MSG_NOSIGNAL | MSG_DONTWAIT);
+    if (Count < 0 && errno == EINTR)
+      continue;
+    if (Count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK))
+      break;
+    if (Count <= 0)
+      C.Broken = true;
+    else
+      C.OutAt += static_cast<size_t>(Count);
+  }
+  size_t Written = C.OutAt - Start;
+  if (C.OutAt == C.Out.size()) {
+    // Idle callers keep no buffer: there are many of them.
+    std::string().swap(C.Out);
+    C.OutAt = 0;
+  } else if (C.OutAt > ReadBytes) {
+    C.Out.erase(0, C.OutAt);
+    C.OutAt = 0;
+  }
+  if (C.Broken)
+    C.M->onGone(All);
+  else if (Written > 0)
+    C.M->onWritten(Written, this->InLoop.now(), All);
+}
+
+void EntryService::Impl::rewatch(Caller &C) {
+  bool Read = !C.Paused && !C.Closing;
+  uint32_t Want = (Read ? uint32_t{EPOLLIN} : 0U) | (C.Out.empty() ? 0U : uint32_t{EPOLLOUT});
+  if (Want == C.Watched)
+    return;
+  C.Watched = Want;
+  this->InLoop.rewatch(C.Fd, Want);
+}
+
+MachineOptions EntryService::Impl::newMachineOptions(std::string Address) {
+  MachineOptions M;
+  while (this->NextSession == 0 || this->Callers.contains(this->NextSession))
+    ++this->NextSession;
+  M.Session = this->NextSession++;
+  // Drivers treat the process id as signed; some refuse zero.
+  do
+    M.ProcessId = randomBits() >> 1;
+  while (M.ProcessId == 0 || this->SessionOfProcess.contains(M.ProcessId));
+  M.SecretKey = uint32_t{this->HashOfSelf} << HashShift | (randomBits() & 0xffffU);
+  M.Address = std::move(Address);
+  M.OverLimit = this->Callers.size() >= this->Common.Options.MaxCallers;
+  return M;
+}
+
+} // namespace toucan::session
--- /dev/null
+++ b/src/session/entry_impl.h
@@ -0,0 +1,83 @@
+// Sockets of the callers: feeds their state machines and carries out the actions.
+#ifndef TOUCAN_SESSION_ENTRY_IMPL_H
+#define TOUCAN_SESSION_ENTRY_IMPL_H
+
+#include "session/machine.h"
+#include "session/session.h"
+
+#include "absl/container/flat_hash_map.h"
+
+#include <deque>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace toucan::session {
+
+struct EntryService::Impl {
+  struct Caller {
+    int Fd = -1;
+    std::unique_ptr<Machine> M;
+    std::string Out; // not yet written
+    size_t OutAt = 0;
+    bool Broken = false;  // the connection failed
+    bool Closing = false; // close when Out is written
+    bool Paused = false;
+    uint32_t Watched = 0; // EPOLL* bits
+    std::optional<TimerId> Timer;
+  };
+  using Event = std::function<void(Machine &M, Actions &Out)>;
+
+  Impl(Loop &InLoop, EntryOptions Options, member::SendFn Send, Metrics &Counters);
+  ~Impl();
+  Impl(const Impl &) = delete;
+  Impl &operator=(const Impl &) = delete;
+
+  Result<void> listen();
+  void beginDrain(Instant Deadline);
+  void onEnvelope(const InstanceId &From, const proto::Envelope &Message);
+  void onCancel(uint32_t ProcessId, uint32_t SecretKey, bool Forward);
+
+  // Gives an event to a session and carries out its actions.
+  void drive(uint32_t Session, const Event &Give);
+  void driveAll(const Event &Give);
+  // Runs a task, or keeps it until the actions under way have been carried out: SendFn may answer
+  // before it returns.
+  void deferOrRun(std::function<void()> Task);
+
+  void onAcceptable();
+  void addCaller(int Fd, std::string Address);
+  void onSocket(uint32_t Session, uint32_t Events);
+  void readCaller(uint32_t Session, Caller &C);
+  void removeCaller(uint32_t Session);
+  void closeListener();
+
+  void carryOut(Caller &C, Actions &All);
+  void carryOutOne(Caller &C, Action &One, Actions &All);
+  void send(Caller &C, SendAction &One, Actions &All);
+  void setTimer(Caller &C, Instant At);
+  void flush(Caller &C, Actions &All);
+  void rewatch(Caller &C);
+  MachineOptions newMachineOptions(std::string Address);
+
+  Loop &InLoop;
+  member::SendFn Send;
+  Metrics &Counters;
+  Shared Common;
+  uint16_t HashOfSelf;
+  int ListenFd = -1;
+  uint16_t Port = 0;
+  uint32_t NextSession = 1;
+  int Driving = 0;
+  std::deque<std::function<void()>> Deferred;
+  std::vector<char> ReadBuffer;
+  absl::flat_hash_map<uint32_t, std::unique_ptr<Caller>> Callers; // by session
+  absl::flat_hash_map<uint32_t, uint32_t> SessionOfProcess;       // by process id of cancel keys
+  std::vector<TimerId> Timers;                                    // of the listener and the drain
+};
+
+} // namespace toucan::session
+
+#endif // TOUCAN_SESSION_ENTRY_IMPL_H
--- /dev/null
+++ b/src/session/entry_socket.cpp
@@ -0,0 +1,206 @@
+#include "session/entry_impl.h"
+
+#include "absl/strings/str_format.h"
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/epoll.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <array>
+#include <cerrno>
+#include <cstring>
+
+namespace toucan::session {
+
+namespace {
+
+// Thousands of callers reconnect in the same second after an outage.
+constexpr int ListenBacklog = 4096;
+constexpr int MaxAcceptsPerRound = 64;
+// Callers over the limit that may still be told so, or bring a cancel request.
+constexpr size_t OverLimitCallers = 1000;
+// Pause of accepting when the process has no free descriptor.
+constexpr absl::Duration AcceptPause = absl::Milliseconds(100);
+
+constexpr int KeepAliveIdleSeconds = 10;
+constexpr int KeepAliveIntervalSeconds = 3;
+constexpr int KeepAliveProbes = 3;
+// Longer than for targets: the limit also ends connections of callers that stop reading, and a
+// caller may work on a part of a large answer for a while.
+constexpr int UserTimeoutMs = 30'000;
+
+std::string errnoText() { return std::error_code(errno, std::generic_category()).message(); }
+
+void setOption(int Fd, int Level, int Name, int Value) {
+  setsockopt(Fd, Level, Name, &Value, sizeof Value);
+}
+
+void setCallerOptions(int Fd) {
+  setOption(Fd, IPPROTO_TCP, TCP_NODELAY, 1);
+  setOption(Fd, SOL_SOCKET, SO_KEEPALIVE, 1);
+  setOption(Fd, IPPROTO_TCP, TCP_KEEPIDLE, KeepAliveIdleSeconds);
+  setOption(Fd, IPPROTO_TCP, TCP_KEEPINTVL, KeepAliveIntervalSeconds);
+  setOption(Fd, IPPROTO_TCP, TCP_KEEPCNT, KeepAliveProbes);
+  setOption(Fd, IPPROTO_TCP, TCP_USER_TIMEOUT, UserTimeoutMs);
+}
+
+std::string addressText(const sockaddr_storage &From) {
+  std::array<char, INET6_ADDRSTRLEN> Text{};
+  const void *Address =
+      From.ss_family == AF_INET6
+          ? static_cast<const void *>(&reinterpret_cast<const sockaddr_in6 &>(From).sin6_addr)
+          : &reinterpret_cast<const sockaddr_in &>(From).sin_addr;
+  inet_ntop(From.ss_family, Address, Text.data(), Text.size());
+  return Text.data();
+}
+
+// Fills a socket address from an IP number and a port; zero length when it is not an IP number.
+socklen_t fillAddress(const std::string &Host, uint16_t Port, sockaddr_storage &Out) {
+  auto &V4 = reinterpret_cast<sockaddr_in &>(Out);
+  auto &V6 = reinterpret_cast<sockaddr_in6 &>(Out);
+  if (inet_pton(AF_INET, Host.c_str(), &V4.sin_addr) == 1) {
+    V4.sin_family = AF_INET;
+    V4.sin_port = htons(Port);
+    return sizeof V4;
+  }
+  if (inet_pton(AF_INET6, Host.c_str(), &V6.sin6_addr) == 1) {
+    V6.sin6_family = AF_INET6;
+    V6.sin6_port = htons(Port);
+    return sizeof V6;
+  }
+  return 0;
+}
+
+} // namespace
+
+Result<void> EntryService::Impl::listen() {
+  const EntryOptions &O = this->Common.Options;
+  sockaddr_storage Address{};
+  socklen_t Length = fillAddress(O.ListenHost, O.ListenPort, Address);
+  if (Length == 0)
+    return failure(absl::StrFormat("caller address \"%s\" is not an IP number", O.ListenHost));
+  int Fd = socket(Address.ss_family, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  if (Fd < 0)
+    return failure(absl::StrFormat("socket for callers: %s", errnoText()));
+  setOption(Fd, SOL_SOCKET, SO_REUSEADDR, 1);
+  auto *Any = reinterpret_cast<sockaddr *>(&Address);
+  if (bind(Fd, Any, Length) < 0 || ::listen(Fd, ListenBacklog) < 0 ||
+      getsockname(Fd, Any, &Length) < 0) {
+    std::string Cause = errnoText();
+    ::close(Fd);
+    return failure(
+        absl::StrFormat("listening for callers on %s:%d: %s", O.ListenHost, O.ListenPort, Cause));
+  }
+  // The port is at the same place in both address families.
+  this->Port = ntohs(reinterpret_cast<sockaddr_in &>(Address).sin_port);
+  this->ListenFd = Fd;
+  this->InLoop.watch(Fd, EPOLLIN, [this](uint32_t) { this->onAcceptable(); });
+  return {};
+}
+
+void EntryService::Impl::closeListener() {
+  if (this->ListenFd < 0)
+    return;
+  this->InLoop.unwatch(this->ListenFd);
+  ::close(this->ListenFd);
+  this->ListenFd = -1;
+}
+
+void EntryService::Impl::onAcceptable() {
+  for (int I = 0; I < MaxAcceptsPerRound; ++I) {
+    sockaddr_storage From{};
+    socklen_t Length = sizeof From;
+    int Fd = accept4(this->ListenFd, reinterpret_cast<sockaddr *>(&From), &Length,
+                     SOCK_NONBLOCK | SOCK_CLOEXEC);
+    if (Fd >= 0) {
+      this->addCaller(Fd, addressText(From));
+      continue;
+    }
+    if (errno == EMFILE || errno == ENFILE) {
+      LogEvent(LogLevel::Error, "accept_failed").kv("cause", errnoText());
+      this->InLoop.rewatch(this->ListenFd, 0);
+      this->Timers.push_back(this->InLoop.at(this->InLoop.now() + AcceptPause, [this] {
+        if (this->ListenFd >= 0)
+          this->InLoop.rewatch(this->ListenFd, EPOLLIN);
+      }));
+      return;
+    }
+    if (errno != EINTR && errno != ECONNABORTED)
+      return;
+  }
+}
+
+void EntryService::Impl::addCaller(int Fd, std::string Address) {
+  if (this->Callers.size() >= this->Common.Options.MaxCallers + OverLimitCallers) {
+    ::close(Fd);
+    this->Counters.count(Reason::TooManyCallers);
+    return;
+  }
+  setCallerOptions(Fd);
+  MachineOptions Options = this->newMachineOptions(std::move(Address));
+  uint32_t Session = Options.Session;
+  this->SessionOfProcess[Options.ProcessId] = Session;
+  auto C = std::make_unique<Caller>();
+  C->Fd = Fd;
+  C->Watched = EPOLLIN;
+  Actions All;
+  C->M = std::make_unique<Machine>(this->Common, std::move(Options), this->InLoop.now(), All);
+  this->Callers[Session] = std::move(C);
+  this->Counters.add("callers_accepted");
+  this->Counters.set("callers", static_cast<int64_t>(this->Callers.size()));
+  this->InLoop.watch(Fd, EPOLLIN,
+                     [this, Session](uint32_t Events) { this->onSocket(Session, Events); });
+  this->drive(Session, [&](Machine &, Actions &Out) { Out = std::move(All); });
+}
+
+void EntryService::Impl::onSocket(uint32_t Session, uint32_t Events) {
+  auto It = this->Callers.find(Session);
+  if (It == this->Callers.end())
+    return;
+  Caller &C = *It->second;
+  bool Gone = (Events & (EPOLLERR | EPOLLHUP)) != 0 && (Events & EPOLLIN) == 0;
+  if ((Events & EPOLLIN) != 0) {
+    this->readCaller(Session, C);
+  } else {
+    // Writing is tried after each event.
+    C.Broken = C.Broken || Gone;
+    this->drive(Session, [&](Machine &M, Actions &Out) {
+      if (Gone)
+        M.onGone(Out);
+    });
+  }
+}
+
+// Reads once, so that one caller does not keep the loop from the others.
+void EntryService::Impl::readCaller(uint32_t Session, Caller &C) {
+  ssize_t Count = read(C.Fd, this->ReadBuffer.data(), this->ReadBuffer.size());
+  if (Count < 0 && (errno == EINTR || errno == EAGAIN || errno == EWOULDBLOCK))
+    return;
+  C.Broken = Count <= 0;
+  this->drive(Session, [&](Machine &M, Actions &Out) {
+    if (Count <= 0)
+      M.onGone(Out);
+    else
+      M.onBytes(std::string_view(this->ReadBuffer.data(), static_cast<size_t>(Count)),
+                this->InLoop.now(), Out);
+  });
+}
+
+void EntryService::Impl::removeCaller(uint32_t Session) {
+  auto It = this->Callers.find(Session);
+  if (It == this->Callers.end())
+    return;
+  Caller &C = *It->second;
+  if (C.Timer)
+    this->InLoop.cancel(*C.Timer);
+  this->InLoop.unwatch(C.Fd);
+  ::close(C.Fd);
+  this->SessionOfProcess.erase(C.M->options().ProcessId);
+  this->Callers.erase(It);
+  this->Counters.set("callers", static_cast<int64_t>(this->Callers.size()));
+}
+
+} // namespace toucan::session
--- /dev/null
+++ b/src/session/local.cpp
@@ -0,0 +1,222 @@
+#include "session/local.h"
+
+#include "wire/wire.h"
+
+#include "absl/strings/str_format.h"
+
+#include <algorithm>
+
+namespace toucan::session {
+
+namespace {
+
+using sql::Kind;
+
+constexpr int32_t TextOid = 25;
+constexpr std::string_view FailedTransaction = "25P02";
+constexpr std::string_view NoActiveTransaction = "25P01";
+constexpr std::string_view ActiveTransaction = "25001";
+
+Placement refuse(Reason R, std::string Detail) {
+  return {.At = Place::Refused, .Error = {.Of = R, .Text = std::move(Detail)}};
+}
+
+Placement serverError(std::string_view SqlState, std::string Text) {
+  return {.At = Place::Refused,
+          .Error = {.SqlState = std::string(SqlState), .Text = std::move(Text)}};
+}
+
+// Why a kind of statement cannot be carried between target connections; empty when it can.
+std::string_view unsupportedText(Kind K) {
+  switch (K) {
+  case Kind::Listen:
+    return "LISTEN needs a target connection of its own";
+  case Kind::TempTable:
+    return "a temporary table that outlives its transaction; ON COMMIT DROP is supported";
+  case Kind::Prepare:
+    return "SQL-level PREPARE and EXECUTE; the extended query protocol is supported";
+  case Kind::Copy:
+    return "COPY";
+  case Kind::CursorHold:
+    return "a cursor WITH HOLD";
+  case Kind::SessionLock:
+    return "a lock or setting made by a function for the whole session";
+  case Kind::Unknown:
+    return "a statement of this kind, or one too long to be classified";
+  default:
+    return "";
+  }
+}
+
+Placement placeSet(const sql::Statement &S, const CarriedSettings &Settings) {
+  CarriedSettings Trial = Settings;
+  auto Outcome = S.ToDefault ? Trial.reset(S.Name) : Trial.set(S.Name, S.Value);
+  if (Outcome == CarriedSettings::Outcome::Done)
+    return {.At = Place::Local};
+  if (Outcome == CarriedSettings::Outcome::UnknownName)
+    return refuse(Reason::NotSupported,
+                  absl::StrFormat("setting \"%s\" outside SET LOCAL in a transaction", S.Name));
+  return refuse(Reason::NotSupported,
+                absl::StrFormat("value \"%s\" of setting \"%s\"", S.Value, S.Name));
+}
+
+// In a lost transaction only its end is answered, and that here.
+Placement placeInLost(const sql::Statement &S, const Transaction &Tx) {
+  if (S.Is == Kind::Commit || S.Is == Kind::Rollback)
+    return {.At = Place::Local};
+  if (Tx.LossUntold)
+    return refuse(Reason::LeaseUnknown, "");
+  return serverError(FailedTransaction, "current transaction is aborted, commands ignored until "
+                                        "end of transaction block");
+}
+
+std::string warning(std::string_view SqlState, std::string_view Text) {
+  return wire::noticeResponse(
+      {{'S', "WARNING"}, {'V', "WARNING"}, {'C', std::string(SqlState)}, {'M', std::string(Text)}});
+}
+
+std::string rowDescription(std::string_view Column) {
+  return wire::Writer()
+      .begin('T')
+      .int16(1)
+      .cstring(Column)
+      .int32(0) // table
+      .int16(0) // column of the table
+      .int32(TextOid)
+      .int16(-1) // variable length
+      .int32(-1) // no type modifier
+      .int16(0)  // text format
+      .end()
+      .take();
+}
+
+std::string dataRow(std::string_view Value) {
+  return wire::Writer()
+      .begin('D')
+      .int16(1)
+      .int32(static_cast<int32_t>(Value.size()))
+      .bytes(Value)
+      .end()
+      .take();
+}
+
+std::string reportSetting(const std::string &Name, const CarriedSettings &Settings) {
+  std::string_view Report = CarriedSettings::reportName(Name);
+  return Report.empty() ? "" : wire::parameterStatus(Report, *Settings.get(Name));
+}
+
+std::string runSet(const sql::Statement &S, SessionState &State) {
+  if (S.ToDefault)
+    State.Settings.reset(S.Name);
+  else
+    State.Settings.set(S.Name, S.Value);
+  std::string Report = S.Name == "all" ? reportSetting("application_name", State.Settings)
+                                       : reportSetting(S.Name, State.Settings);
+  return Report + wire::commandComplete(S.ToDefault && S.Value.empty() ? "RESET" : "SET");
+}
+
+void dropStatement(SessionState &State, const std::string &Name) {
+  auto It = State.Statements.find(Name);
+  if (It == State.Statements.end())
+    return;
+  State.StatementBytes -= It->second->ParseFrame.size();
+  State.Statements.erase(It);
+}
+
+void dropStatements(SessionState &State) {
+  State.Statements.clear();
+  State.StatementBytes = 0;
+}
+
+std::string runDiscard(const sql::Statement &S, SessionState &State) {
+  if (S.Name != "all")
+    return wire::commandComplete("DISCARD");
+  dropStatements(State);
+  State.Settings.resetAll();
+  return reportSetting("application_name", State.Settings) + wire::commandComplete("DISCARD ALL");
+}
+
+std::string runDeallocate(const sql::Statement &S, SessionState &State) {
+  if (S.Name.empty()) {
+    dropStatements(State);
+    return wire::commandComplete("DEALLOCATE ALL");
+  }
+  dropStatement(State, S.Name);
+  return wire::commandComplete("DEALLOCATE");
+}
+
+std::string runTransactionEnd(const sql::Statement &S, SessionState &State) {
+  if (State.Tx.lost()) {
+    State.Tx = Transaction{};
+    return wire::commandComplete("ROLLBACK");
+  }
+  return warning(NoActiveTransaction, "there is no transaction in progress") +
+         wire::commandComplete(S.Is == Kind::Commit ? "COMMIT" : "ROLLBACK");
+}
+
+} // namespace
+
+Placement placeStatement(const sql::Statement &S, const SessionState &State, bool InBlock) {
+  if (State.Tx.lost())
+    return placeInLost(S, State.Tx);
+  if (std::string_view Text = unsupportedText(S.Is); !Text.empty())
+    return refuse(Reason::NotSupported, std::string(Text));
+  switch (S.Is) {
+  case Kind::Set:
+    return placeSet(S, State.Settings);
+  case Kind::Commit:
+  case Kind::Rollback:
+  case Kind::SetLocal:
+    return {.At = InBlock ? Place::Remote : Place::Local};
+  case Kind::Show:
+    return {.At = State.Settings.get(S.Name) ? Place::Local : Place::Remote};
+  case Kind::Discard:
+    if (InBlock && S.Name == "all")
+      return serverError(ActiveTransaction, "DISCARD ALL cannot run inside a transaction block");
+    return {.At = Place::Local};
+  case Kind::Unlisten:
+    return {.At = Place::Local};
+  case Kind::Deallocate:
+    if (!S.Name.empty() && !State.Statements.contains(S.Name))
+      return serverError("26000",
+                         absl::StrFormat("prepared statement \"%s\" does not exist", S.Name));
+    return {.At = Place::Local};
+  case Kind::TxLock:
+    if (!InBlock)
+      return refuse(Reason::NotSupported, "a transaction lock or setting outside a transaction");
+    return {.At = Place::Remote};
+  default:
+    return {.At = Place::Remote};
+  }
+}
+
+std::string runLocal(const sql::Statement &S, SessionState &State, bool WithRowDescription) {
+  switch (S.Is) {
+  case Kind::Set:
+    return runSet(S, State);
+  case Kind::SetLocal:
+    return warning(NoActiveTransaction, "SET LOCAL can only be used in transaction blocks") +
+           wire::commandComplete("SET");
+  case Kind::Show:
+    return (WithRowDescription ? rowDescription(S.Name) : "") +
+           dataRow(State.Settings.get(S.Name).value_or("")) + wire::commandComplete("SHOW");
+  case Kind::Discard:
+    return runDiscard(S, State);
+  case Kind::Deallocate:
+    return runDeallocate(S, State);
+  case Kind::Commit:
+  case Kind::Rollback:
+    return runTransactionEnd(S, State);
+  default:
+    return wire::commandComplete("UNLISTEN");
+  }
+}
+
+std::string describeLocal(const sql::Statement &S, char Object) {
+  std::string Parameters = Object == 'S' ? wire::Writer().begin('t').int16(0).end().take() : "";
+  if (S.Is == Kind::Show)
+    return Parameters + rowDescription(S.Name);
+  return Parameters + wire::emptyMessage('n');
+}
+
+} // namespace toucan::session
--- /dev/null
+++ b/src/session/local.h
@@ -0,0 +1,40 @@
+// Statements that the session answers itself, or refuses.
+#ifndef TOUCAN_SESSION_LOCAL_H
+#define TOUCAN_SESSION_LOCAL_H
+
+#include "base/verdict.h"
+#include "session/state.h"
+#include "sql/sql.h"
+
+#include <cstdint>
+#include <string>
+
+namespace toucan::session {
+
+// An error that the session reports without asking a target.
+struct LocalError {
+  Reason Of = Reason::None; // a refusal of the proxy; None: an error as a server would report it
+  std::string SqlState;     // for Reason::None
+  std::string Text;         // for Reason::None the message, else the detail
+};
+
+enum class Place : uint8_t { Remote, Local, Refused };
+
+struct Placement {
+  Place At = Place::Remote;
+  LocalError Error; // when refused
+};
+
+// Decides who answers a statement. InBlock: a transaction is open, or begun earlier in the request.
+Placement placeStatement(const sql::Statement &S, const SessionState &State, bool InBlock);
+
+// Runs a statement with Place::Local: changes the state and returns the frames of the reply, for
+// Execute (or Query, with WithRowDescription).
+std::string runLocal(const sql::Statement &S, SessionState &State, bool WithRowDescription);
+
+// Reply to Describe of a statement with Place::Local.
+std::string describeLocal(const sql::Statement &S, char Object);
+
+} // namespace toucan::session
+
+#endif // TOUCAN_SESSION_LOCAL_H
--- /dev/null
+++ b/src/session/machine.cpp
@@ -0,0 +1,203 @@
+#include "session/machine.h"
+
+#include "absl/strings/str_format.h"
+
+#include <utility>
+
+namespace toucan::session {
+
+namespace {
+
+// The caller gets no further requests served while it leaves this much unread.
+constexpr uint64_t MaxUnreadBytes = 1024 * 1024;
+
+// Bytes written to the caller are returned as credit from this number on: less than a chunk, so
+// that a large answer is never held up, and more than a short answer, which needs no credit.
+constexpr uint64_t CreditStepBytes = 16 * 1024;
+
+} // namespace
+
+Machine::Machine(Shared &Common, MachineOptions Options, Instant Now, Actions &Out)
+    : Common(Common), Options(std::move(Options)),
+      StartupDeadline(Now + Common.Options.StartupTimeout), Reader(Common.Options.MaxFrameBytes),
+      Collecting(
+          this->State,
+          [&Common](const std::string &Sql) { return Common.Classifier.classify(Sql); },
+          Common.Options.MaxFrameBytes) {
+  this->armTimer(this->StartupDeadline, Out);
+}
+
+void Machine::onBytes(std::string_view Bytes, Instant Now, Actions &Out) {
+  if (this->closed())
+    return;
+  this->Reader.append(Bytes);
+  this->pump(Now, Out);
+}
+
+void Machine::onWritten(size_t Bytes, Instant Now, Actions &Out) {
+  bool WasStalled = this->stalled();
+  this->BytesWritten += Bytes;
+  uint64_t Running = this->Request ? this->Request->Exec.request_id() : 0;
+  while (!this->Segments.empty() && this->Segments.front().EndOffset <= this->BytesWritten) {
+    if (this->Segments.front().RequestId == Running)
+      this->Request->UncreditedBytes += this->Segments.front().Bytes;
+    this->Segments.pop_front();
+  }
+  if (this->Request && this->Request->Sent && this->Request->UncreditedBytes >= CreditStepBytes) {
+    SendAction Send{.To = this->Request->Owner};
+    Send.Message.mutable_credit()->set_request_id(Running);
+    Send.Message.mutable_credit()->set_bytes(this->Request->UncreditedBytes);
+    this->Request->UncreditedBytes = 0;
+    Out.emplace_back(std::move(Send));
+  }
+  if (WasStalled && !this->stalled() && !this->closed())
+    this->pump(Now, Out);
+}
+
+void Machine::onGone(Actions &Out) {
+  if (this->closed())
+    return;
+  this->close("caller_gone", Out);
+}
+
+void Machine::onTimer(Instant Now, Actions &Out) {
+  this->TimerAt = absl::InfiniteFuture();
+  if (this->closed())
+    return;
+  if (this->Phase == PhaseKind::Startup) {
+    if (Now >= this->StartupDeadline)
+      this->fatal(Reason::ProtocolViolation, "no start-up packet before the deadline", Out);
+    else
+      this->armTimer(this->StartupDeadline, Out);
+    return;
+  }
+  if (!this->Request)
+    return;
+  Running &R = *this->Request;
+  if (!R.Sent) {
+    if (Now >= R.RetryAt)
+      this->dispatch(Now, Out);
+    else
+      this->armTimer(R.RetryAt, Out);
+  } else if (R.Held && Now >= R.GapDeadline) {
+    this->incomplete("a part of the answer did not arrive", Now, Out);
+  } else if (Now >= R.Deadline + DeadlineGrace) {
+    this->sendCancel(Out);
+    this->endWithError(Verdict::MayHaveRun, Reason::RequestDeadline, "", Now, Out);
+  } else {
+    this->armTimer(R.Held ? std::min(R.GapDeadline, R.Deadline + DeadlineGrace)
+                          : R.Deadline + DeadlineGrace,
+                   Out);
+  }
+  this->resume(Now, Out);
+}
+
+void Machine::onCancel(Instant Now, Actions &Out) {
+  if (!this->Request)
+    return;
+  if (this->Request->Sent)
+    this->sendCancel(Out);
+  else
+    this->endWithError(Verdict::NotRun, Reason::Canceled, "", Now, Out);
+  this->resume(Now, Out);
+}
+
+void Machine::onDrain(Actions &Out) {
+  if (this->closed())
+    return;
+  bool Busy = this->Request || this->State.Tx.open() || this->Reader.pending() > 0 ||
+              !this->Collecting.empty();
+  if (!Busy || this->Phase == PhaseKind::Startup)
+    this->fatal(Reason::Draining, reasonText(Reason::Draining, ""), Out);
+}
+
+void Machine::onDrainDeadline(Actions &Out) {
+  if (this->closed())
+    return;
+  // A request that has been handed to the pool is interrupted, so its outcome is not known.
+  bool MayHaveRun = this->Request && (this->Request->Sent || this->Request->EarlierMayHaveRun);
+  std::string Text = MayHaveRun ? "the instance is shutting down; the request may have run"
+                                : reasonText(Reason::Draining, "");
+  this->fatal(Reason::Draining, Text, Out);
+}
+
+proto::SessionStatus Machine::status() const {
+  proto::SessionStatus S;
+  S.set_session_id(this->Options.Session);
+  S.set_caller(this->Options.Address);
+  S.set_database(this->Database.Value);
+  S.set_user(this->User);
+  const char *Name = this->Phase == PhaseKind::Startup       ? "startup"
+                     : this->Request && !this->Request->Sent ? "retrying"
+                     : this->Request                         ? "running"
+                     : this->State.Tx.open()                 ? "in_transaction"
+                                                             : "idle";
+  S.set_state(Name);
+  S.mutable_floor()->set_term(this->Floor.InTerm.Value);
+  S.mutable_floor()->set_position(this->Floor.Position);
+  S.set_requests(this->Requests);
+  return S;
+}
+
+void Machine::write(std::string Bytes, Actions &Out) {
+  if (Bytes.empty())
+    return;
+  this->BytesOut += Bytes.size();
+  if (!Out.empty())
+    if (auto *Last = std::get_if<WriteAction>(&Out.back())) {
+      Last->Bytes += Bytes;
+      return;
+    }
+  Out.emplace_back(WriteAction{.Bytes = std::move(Bytes)});
+}
+
+// Reports an error that ends the session.
+void Machine::fatal(Reason R, const std::string &Text, Actions &Out) {
+  this->write(wire::error("FATAL", reasonSqlState(R), Text), Out);
+  this->count(R, Out);
+  this->logRefusal(R, Text, Out);
+  this->close(reasonName(R), Out);
+}
+
+void Machine::close(std::string_view Cause, Actions &Out) {
+  this->abandonWork(Out);
+  if (this->Phase == PhaseKind::Ready)
+    Out.emplace_back(LogAction{.Level = LogLevel::Debug,
+                               .Event = "caller_close",
+                               .Pairs = {{"session", absl::StrFormat("%d", this->Options.Session)},
+                                         {"cause", std::string(Cause)}}});
+  this->Phase = PhaseKind::Closed;
+  Out.emplace_back(CloseAction{});
+}
+
+// Ends the request and the transaction of a session that goes away.
+void Machine::abandonWork(Actions &Out) {
+  if (this->Request && this->Request->Sent)
+    this->sendCancel(Out);
+  this->Request.reset();
+  this->releaseLease(this->State.Tx.Lease, this->State.Tx.Owner, Out);
+  this->State.Tx = Transaction{};
+}
+
+// Sets the timer unless it fires earlier anyway; onTimer() sets it again when it fires early.
+void Machine::armTimer(Instant At, Actions &Out) {
+  if (At >= this->TimerAt)
+    return;
+  this->TimerAt = At;
+  Out.emplace_back(TimerAction{.At = At});
+}
+
+void Machine::count(Reason R, Actions &Out) { Out.emplace_back(CountAction{.Of = R}); }
+
+void Machine::logRefusal(Reason R, const std::string &Detail, Actions &Out) {
+  Out.emplace_back(LogAction{.Level = LogLevel::Info,
+                             .Event = "request_refused",
+                             .Pairs = {{"session", absl::StrFormat("%d", this->Options.Session)},
+                                       {"database", this->Database.Value},
+                                       {"reason", std::string(reasonName(R))},
+                                       {"detail", Detail}}});
+}
+
+bool Machine::stalled() const { return this->BytesOut - this->BytesWritten > MaxUnreadBytes; }
+
+} // namespace toucan::session
--- /dev/null
+++ b/src/session/machine.h
@@ -0,0 +1,172 @@
+// State machine of one caller: events in, actions out. No sockets, clock, threads or logging.
+#ifndef TOUCAN_SESSION_MACHINE_H
+#define TOUCAN_SESSION_MACHINE_H
+
+#include "session/actions.h"
+#include "session/collector.h"
+#include "session/shared.h"
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace toucan::session {
+
+// The pool ends a request at its deadline; the session waits this much longer for that answer.
+constexpr absl::Duration DeadlineGrace = absl::Milliseconds(500);
+
+struct MachineOptions {
+  uint32_t Session = 0;   // id, unique within the incarnation of the instance
+  uint32_t ProcessId = 0; // of the cancel key
+  uint32_t SecretKey = 0; // of the cancel key; upper half: hash of the instance id
+  std::string Address;    // of the caller, without port
+  bool OverLimit = false; // refuse the caller after its start-up packet
+};
+
+// The request under way.
+struct Running {
+  proto::ExecRequest Exec;
+  BatchEnd End = BatchEnd::Sync;
+  bool Begins = false;
+  bool Ends = false;
+  bool IsRead = false;
+  rules::WorkClass Class = rules::WorkClass::Short;
+  std::vector<std::pair<std::string, PreparedPtr>> Defined;
+  Instant Started;
+  Instant Deadline;
+  InstanceId Owner;  // of the attempt
+  bool Sent = false; // false: waiting for the next attempt
+  Instant RetryAt;   // when not sent
+  uint32_t Attempts = 0;
+  uint64_t NextChunk = 0;
+  std::map<uint64_t, std::string> Early; // chunks that arrived before their turn
+  std::optional<proto::Done> Held;       // Done that arrived before all chunks
+  Instant GapDeadline;                   // for the missing chunks
+  bool ErrorRelayed = false;
+  size_t ParsesConfirmed = 0;
+  bool EarlierMayHaveRun = false; // an earlier attempt
+  uint64_t UncreditedBytes = 0;   // written to the caller
+};
+
+class Machine {
+public:
+  // Shared must outlive the machine.
+  Machine(Shared &Common, MachineOptions Options, Instant Now, Actions &Out);
+
+  // Events from the caller's connection.
+  void onBytes(std::string_view Bytes, Instant Now, Actions &Out);
+  void onWritten(size_t Bytes, Instant Now, Actions &Out);
+  void onGone(Actions &Out);
+
+  // Events from the pool. Messages of another request than the running one are late; they are
+  // ignored, but a lease that comes with them is released.
+  void onChunk(const proto::Chunk &C, Instant Now, Actions &Out);
+  void onDone(const InstanceId &From, const proto::Done &D, Instant Now, Actions &Out);
+  // The exec envelope was not handed over.
+  void onUnsent(uint64_t RequestId, Instant Now, Actions &Out);
+  void onPeerLost(const InstanceId &Peer, Instant Now, Actions &Out);
+
+  void onTimer(Instant Now, Actions &Out);
+  // A cancel request with the key of this session.
+  void onCancel(Instant Now, Actions &Out);
+  // The instance drains: ends the session when nothing is under way.
+  void onDrain(Actions &Out);
+  void onDrainDeadline(Actions &Out);
+
+  bool closed() const { return this->Phase == PhaseKind::Closed; }
+  const MachineOptions &options() const { return this->Options; }
+  proto::SessionStatus status() const;
+
+  // The session that a request id belongs to.
+  static uint32_t sessionOf(uint64_t RequestId) { return static_cast<uint32_t>(RequestId >> 32); }
+
+private:
+  enum class PhaseKind : uint8_t { Startup, Ready, Closed };
+
+  // A chunk on its way to the caller.
+  struct Segment {
+    uint64_t EndOffset;
+    uint64_t RequestId;
+    uint64_t Bytes;
+  };
+
+  // machine_input.cpp: start-up and frames of the caller.
+  void pump(Instant Now, Actions &Out);
+  void resume(Instant Now, Actions &Out);
+  bool pumpStartup(Instant Now, Actions &Out);
+  bool pumpFrame(Instant Now, Actions &Out);
+  void onStartupPacket(wire::StartupPacket &P, Instant Now, Actions &Out);
+  void startSession(wire::StartupPacket &P, Instant Now, Actions &Out);
+  std::optional<LocalError> readParameters(const wire::StartupPacket &P, Actions &Out);
+  std::optional<LocalError> readParameter(const std::string &Name, const std::string &Value,
+                                          Actions &Out);
+  std::optional<LocalError> readToken(const std::string &Value, Actions &Out);
+  std::string greeting() const;
+  void failCollected(char FrameType, const LocalError &Error, Actions &Out);
+  void updatePause(Actions &Out);
+
+  // machine_request.cpp: requests to the pool.
+  void startRequest(Batch B, Instant Now, Actions &Out);
+  void fillExec(const Batch &B, Instant Now);
+  rules::Policy combinedPolicy(const Batch &B) const;
+  std::optional<Reason> refusalNow() const;
+  void dispatch(Instant Now, Actions &Out);
+  void failAttempt(Verdict V, Reason R, const std::string &Detail, absl::Duration RetryAfter,
+                   Instant Now, Actions &Out);
+  bool mayRetry(Verdict V, Reason R, absl::Duration Delay, Instant Now);
+  absl::Duration retryDelay(absl::Duration RetryAfter);
+  void endWithError(Verdict V, Reason R, const std::string &Detail, Instant Now, Actions &Out);
+  void endTransactionAfterError(Actions &Out);
+  void takeChunk(const proto::Chunk &C, Instant Now, Actions &Out);
+  void takeDone(const InstanceId &From, const proto::Done &D, Instant Now, Actions &Out);
+  void relayChunk(const std::string &Frames, Instant Now, Actions &Out);
+  bool scanChunk(std::string_view Frames);
+  void incomplete(const std::string &Detail, Instant Now, Actions &Out);
+  void complete(const proto::Done &D, Instant Now, Actions &Out);
+  void keepTransaction(const proto::Done &D);
+  void raiseFloor(const proto::Done &D, Actions &Out);
+  void finishRequest(bool Failed, Instant Now, Actions &Out);
+  void dropUnconfirmed();
+  void releaseLease(LeaseId Lease, const InstanceId &Owner, Actions &Out);
+  void sendCancel(Actions &Out);
+
+  // machine.cpp: shared by both.
+  void write(std::string Bytes, Actions &Out);
+  void fatal(Reason R, const std::string &Text, Actions &Out);
+  void close(std::string_view Cause, Actions &Out);
+  void abandonWork(Actions &Out);
+  void armTimer(Instant At, Actions &Out);
+  void count(Reason R, Actions &Out);
+  void logRefusal(Reason R, const std::string &Detail, Actions &Out);
+  bool stalled() const;
+
+  Shared &Common;
+  MachineOptions Options;
+  PhaseKind Phase = PhaseKind::Startup;
+  Instant StartupDeadline;
+  wire::FrameReader Reader;
+  SessionState State;
+  Collector Collecting;
+  DatabaseName Database;
+  std::string User;
+
+  std::optional<Running> Request; // the one under way
+  uint32_t NextAttempt = 1;       // lower half of the next request id
+  uint64_t Requests = 0;
+
+  LogPosition Floor;
+  bool FloorKnown = false; // false: the first read asks for verification
+
+  Instant TimerAt = absl::InfiniteFuture();
+  uint64_t BytesOut = 0;     // handed to the shell
+  uint64_t BytesWritten = 0; // written to the caller
+  std::deque<Segment> Segments;
+  bool Paused = false;
+};
+
+} // namespace toucan::session
+
+#endif // TOUCAN_SESSION_MACHINE_H
