Membership, link transport and daemon wiring

Cause: the duties need a transport, a picture of the live instances and a process around them. Change: member (SWIM-style probing, rules state), link (ZeroMQ ROUTER and one DEALER a peer, loss by silence), daemon (settings, loops, control duty, platform thread, health and metrics), demo scripts. Ruled out: a full mesh of heartbeats (grows with the member count); waiting for 3 s of silence of every member (with 3 random heartbeats a second among 2,600 members a given peer is heard every 870 s), so members are probed and suspects refute.

--- /dev/null
+++ b/scripts/cluster.sh
@@ -0,0 +1,123 @@
+# Functions that start and stop a whole system of stand-ins and proxies; sourced by other scripts.
+# Needs: bin (directory of the programs), work (an empty directory for logs and data).
+# Sets: platform_url, proxy_port[i], proxy_pid[i], server_pid[id], server_port[id].
+
+declare -A server_pid server_port
+declare -a proxy_pid proxy_port proxy_link proxy_http all_pids
+databases=(rounds orders stock)
+places=("chc-1 canterbury" "dud-1 otago" "por-1 wellington")
+token_key=demo-key-0123456789abcdef
+
+# Starts a program in the background and waits for its "listening ..." line.
+# Usage: start NAME PROGRAM ARGS...; sets last_pid and last_line.
+start() {
+  local name=$1
+  shift
+  "$@" >"$work/$name.out" 2>"$work/$name.log" &
+  last_pid=$!
+  all_pids+=("$last_pid")
+  for _ in $(seq 200); do
+    last_line=$(grep -m1 '^listening ' "$work/$name.out" || true)
+    [ -n "$last_line" ] && return 0
+    kill -0 "$last_pid" 2>/dev/null || break
+    sleep 0.05
+  done
+  echo "$name did not start:" >&2
+  tail -n 20 "$work/$name.log" >&2
+  return 1
+}
+
+# Usage: field KEY; prints the value of KEY in last_line.
+field() { sed -n "s/.*\b$1=\([0-9]*\).*/\1/p" <<<"$last_line"; }
+
+start_platform() {
+  start platform "$bin/standin-platform" --port=0
+  platform_url=http://127.0.0.1:$(field port)
+}
+
+# Usage: start_server DATABASE NUMBER [PORT]
+start_server() {
+  local id=$1-$2
+  mkdir -p "$work/data-$id"
+  start "$id" "$bin/standin-db" --id="$id" --database="$1" --port="${3:-0}" \
+    --data-dir="$work/data-$id" --slots=3 --connections=25 --connect-delay-ms=10
+  server_pid[$id]=$last_pid
+  server_port[$id]=$(field port)
+}
+
+# Usage: start_proxy NUMBER
+start_proxy() {
+  local place
+  read -ra place <<<"${places[$(($1 % 3))]}"
+  TOUCANRUN_TOKEN_KEY=$token_key start "proxy-$1" "$bin/toucanrund" --instance-id="proxy-$1" \
+    --listen-port=0 --link-port=0 --http-port=0 --data-centre="${place[0]}" \
+    --region="${place[1]}" --platform-url="$platform_url" --drain-notice-ms=200
+  proxy_pid[$1]=$last_pid
+  proxy_port[$1]=$(field port)
+  proxy_link[$1]=$(field link)
+  proxy_http[$1]=$(field http)
+}
+
+publish_groups() {
+  local groups="" database number place targets
+  for database in "${databases[@]}"; do
+    targets=""
+    for number in 1 2 3; do
+      read -ra place <<<"${places[$((number - 1))]}"
+      targets+="${targets:+,}{\"id\":\"$database-$number\",\"host\":\"127.0.0.1\",\"port\":${server_port[$database-$number]},\"data_centre\":\"${place[0]}\",\"region\":\"${place[1]}\",\"state\":\"live\"}"
+    done
+    groups+="${groups:+,}{\"name\":\"$database\",\"slots\":3,\"connections\":25,\"targets\":[$targets]}"
+  done
+  curl -sf -X PUT -d "{\"groups\":[$groups]}" "$platform_url/admin/groups" >/dev/null
+}
+
+publish_instances() {
+  local instances="" i place
+  for i in "${!proxy_port[@]}"; do
+    read -ra place <<<"${places[$((i % 3))]}"
+    instances+="${instances:+,}{\"id\":\"proxy-$i\",\"link\":\"127.0.0.1:${proxy_link[$i]}\",\"data_centre\":\"${place[0]}\",\"region\":\"${place[1]}\",\"state\":\"live\"}"
+  done
+  curl -sf -X PUT -d "{\"instances\":[$instances]}" "$platform_url/admin/instances" >/dev/null
+}
+
+# Starts everything and waits until every proxy is ready.
+start_all() {
+  local database number i
+  start_platform
+  for database in "${databases[@]}"; do
+    for number in 1 2 3; do start_server "$database" "$number"; done
+  done
+  publish_groups
+  for i in 0 1 2 3; do start_proxy "$i"; done
+  publish_instances
+  for i in 0 1 2 3; do
+    wait_for "proxy-$i ready" curl -sf -o /dev/null "http://127.0.0.1:${proxy_http[$i]}/health"
+  done
+}
+
+# Runs a command until it succeeds. Usage: wait_for WHAT COMMAND...
+wait_for() {
+  local what=$1
+  shift
+  for _ in $(seq 300); do
+    "$@" >/dev/null 2>&1 && return 0
+    sleep 0.1
+  done
+  echo "gave up waiting for: $what" >&2
+  return 1
+}
+
+# Runs SQL through a proxy. Usage: sql PROXY DATABASE SQL [psql options]
+sql() {
+  local proxy=$1 database=$2 text=$3
+  shift 3
+  psql -X -q -t -A -v ON_ERROR_STOP=1 "$@" -c "$text" \
+    "host=127.0.0.1 port=${proxy_port[$proxy]} user=demo dbname=$database connect_timeout=10"
+}
+
+# Ends only the processes that were started here.
+stop_all() {
+  local pid
+  for pid in "${all_pids[@]}"; do kill "$pid" 2>/dev/null || true; done
+  for pid in "${all_pids[@]}"; do wait "$pid" 2>/dev/null || true; done
+}
--- /dev/null
+++ b/src/daemon/control.cpp
@@ -0,0 +1,202 @@
+#include "daemon/control.h"
+
+#include <algorithm>
+
+namespace toucan::daemon {
+
+namespace {
+
+constexpr absl::Duration TickInterval = absl::Milliseconds(100);
+// A lost rules_fetch or its answer is asked for again after this time.
+constexpr absl::Duration FetchRetry = absl::Milliseconds(500);
+
+member::MembershipOptions membershipOptions(const ControlOptions &O) {
+  return {.Self = O.Self,
+          .LinkEndpoint = O.LinkEndpoint,
+          .At = O.At,
+          .Incarnation = O.Incarnation,
+          .Seed = O.Incarnation};
+}
+
+bool sameTarget(const member::Target &A, const member::Target &B) {
+  return A.Id == B.Id && A.Host == B.Host && A.Port == B.Port && A.Status == B.Status &&
+         A.At.Dc == B.At.Dc && A.At.InRegion == B.At.InRegion;
+}
+
+bool sameGroup(const member::Group &A, const member::Group &B) {
+  return A.Name == B.Name && A.SlotsPerTarget == B.SlotsPerTarget &&
+         A.ConnectionsPerTarget == B.ConnectionsPerTarget &&
+         std::equal(A.Targets.begin(), A.Targets.end(), B.Targets.begin(), B.Targets.end(),
+                    sameTarget);
+}
+
+} // namespace
+
+ControlService::ControlService(Loop &L, ControlOptions O, link::LinkService &S, Publish P,
+                               Metrics &M)
+    : InLoop(L), Options(std::move(O)), Link(S), OnView(std::move(P)), Counters(M),
+      Members(membershipOptions(this->Options)) {}
+
+ControlService::~ControlService() { this->InLoop.cancel(this->Timer); }
+
+void ControlService::start() { this->tick(); }
+
+void ControlService::onDirectory(const platform::Directory &Read) {
+  std::vector<member::Listed> List;
+  for (const platform::InstanceRow &Row : Read.Instances)
+    List.push_back(
+        {.Id = Row.Id, .LinkEndpoint = Row.LinkEndpoint, .At = Row.At, .Leaving = Row.Leaving});
+  std::vector<member::OutgoingHeartbeat> Out = this->Members.onList(List, this->InLoop.now());
+  bool Same = this->HaveDirectory && std::equal(this->Groups.begin(), this->Groups.end(),
+                                                Read.Groups.begin(), Read.Groups.end(), sameGroup);
+  if (!Same)
+    this->Groups = Read.Groups;
+  this->Dirty |= !Same;
+  this->HaveDirectory = true;
+  // The link must know a new member before it can be sent a probe.
+  this->publishIfChanged();
+  this->send(std::move(Out));
+}
+
+void ControlService::onRulesRow(const platform::Row &Read) {
+  this->Rules.onStoreRead(this->InLoop.now());
+  this->offerRules(RulesVersion(Read.Version), Read.Value, "store");
+  this->publishIfChanged();
+}
+
+void ControlService::onMessage(const InstanceId &From, const proto::Envelope &Message) {
+  if (Message.has_heartbeat()) {
+    std::vector<member::OutgoingHeartbeat> Out =
+        this->Members.onHeartbeat(Message.heartbeat(), this->InLoop.now());
+    this->publishIfChanged();
+    this->send(std::move(Out));
+    this->fetchNewerRules();
+  } else if (Message.has_rules_fetch()) {
+    if (this->Rules.version().Value < Message.rules_fetch().version())
+      return;
+    proto::Envelope Answer;
+    Answer.mutable_rules_text()->set_version(this->Rules.version().Value);
+    Answer.mutable_rules_text()->set_text(this->Rules.rules()->text());
+    this->Link.send(From, std::move(Answer));
+  } else if (Message.has_rules_text()) {
+    this->offerRules(RulesVersion(Message.rules_text().version()), Message.rules_text().text(),
+                     From.Value);
+    this->publishIfChanged();
+  }
+}
+
+void ControlService::beginDrain() {
+  this->send(this->Members.setDraining(this->InLoop.now()));
+  this->Dirty = true;
+  this->publishIfChanged();
+}
+
+void ControlService::fillStatus(proto::StatusReply &Reply) const {
+  *Reply.mutable_self() = this->Members.self();
+  for (const member::Member &M : this->Members.members()) {
+    proto::MemberRecord *R = Reply.add_members();
+    R->set_instance(M.Id.Value);
+    R->set_link_endpoint(M.LinkEndpoint);
+    R->set_data_centre(M.At.Dc.Value);
+    R->set_region(M.At.InRegion.Value);
+    R->set_incarnation(M.Incarnation);
+    R->set_state(static_cast<uint32_t>(M.Status));
+    R->set_rules_version(M.Rules.Value);
+  }
+  Reply.set_rules_known(this->LastRulesKnown);
+}
+
+absl::Duration ControlService::storeInterval() const {
+  Instant Now = this->InLoop.now();
+  return this->Rules.nextStoreRead(Now, this->Members.members().size()) - Now;
+}
+
+void ControlService::tick() {
+  this->send(this->Members.tick(this->InLoop.now()));
+  this->fetchNewerRules();
+  this->publishIfChanged();
+  this->Timer = this->InLoop.at(this->InLoop.now() + TickInterval, [this] { this->tick(); });
+}
+
+void ControlService::send(std::vector<member::OutgoingHeartbeat> Out) {
+  for (member::OutgoingHeartbeat &H : Out) {
+    proto::Envelope Message;
+    *Message.mutable_heartbeat() = std::move(H.Message);
+    this->Counters.add("heartbeats_sent_total");
+    this->Counters.add("heartbeat_bytes_total", Message.ByteSizeLong());
+    this->Link.send(H.To, std::move(Message));
+  }
+}
+
+void ControlService::offerRules(RulesVersion Version, const std::string &Text,
+                                std::string_view Source) {
+  Captured<bool> Taken = capture([&] { return this->Rules.offer(Version, Text); });
+  if (!Taken) {
+    this->Counters.add("rules_invalid_total");
+    LogEvent(LogLevel::Error, "rules_invalid")
+        .kv("version", Version.Value)
+        .kv("source", Source)
+        .kv("cause", Taken.Problem.Message);
+    return;
+  }
+  if (!*Taken)
+    return;
+  this->Dirty = true;
+  this->Counters.set("rules_version", static_cast<int64_t>(Version.Value));
+  LogEvent(LogLevel::Info, "rules_in_force").kv("version", Version.Value).kv("source", Source);
+  this->send(this->Members.setRulesVersion(Version, this->InLoop.now()));
+}
+
+// Asks a live member that has newer rules for their text.
+void ControlService::fetchNewerRules() {
+  if (this->InLoop.now() < this->NextFetch)
+    return;
+  for (const member::Member &M : this->Members.members()) {
+    if (M.Rules <= this->Rules.version() || M.Status != member::State::Alive)
+      continue;
+    proto::Envelope Message;
+    Message.mutable_rules_fetch()->set_version(M.Rules.Value);
+    this->Link.send(M.Id, std::move(Message));
+    this->NextFetch = this->InLoop.now() + FetchRetry;
+    return;
+  }
+}
+
+void ControlService::publishIfChanged() {
+  double Share = this->Members.heardShare(this->Rules.isolatedSince(this->InLoop.now()));
+  bool Known = this->Rules.known(this->InLoop.now(), Share);
+  if (Known != this->LastRulesKnown)
+    LogEvent(Known ? LogLevel::Info : LogLevel::Warn, "rules_known").kv("known", Known);
+  if (!this->Dirty && Known == this->LastRulesKnown && this->LastChanges == this->Members.changes())
+    return;
+  this->publish(Known);
+}
+
+void ControlService::publish(bool RulesKnown) {
+  auto View = std::make_shared<member::View>();
+  View->Self = this->Options.Self;
+  View->SelfAt = this->Options.At;
+  View->Members = this->Members.members();
+  View->Groups = this->Groups;
+  View->Rules = this->Rules.rules();
+  View->Version = this->Rules.version();
+  View->RulesKnown = RulesKnown;
+  for (member::Group &G : View->Groups) {
+    for (member::Target &T : G.Targets) {
+      rules::TargetState ByRule = View->Rules->targetState(G.Name, T.Id);
+      if (T.Status == rules::TargetState::Active)
+        T.Status = ByRule;
+    }
+  }
+  std::map<InstanceId, link::PeerAddress> Peers;
+  for (const member::Member &M : View->Members)
+    if (M.Id != this->Options.Self && !M.LinkEndpoint.empty())
+      Peers[M.Id] = {.Endpoint = M.LinkEndpoint, .Incarnation = M.Incarnation};
+  this->Link.setPeers(std::move(Peers));
+  this->Dirty = false;
+  this->LastRulesKnown = RulesKnown;
+  this->LastChanges = this->Members.changes();
+  this->OnView(std::move(View));
+}
+
+} // namespace toucan::daemon
--- /dev/null
+++ b/src/daemon/options.cpp
@@ -0,0 +1,149 @@
+#include "daemon/options.h"
+
+namespace toucan::daemon {
+
+namespace {
+
+constexpr int64_t MaxPort = 65535;
+constexpr int64_t HourMs = 3'600'000;
+constexpr int64_t DayMs = 24 * HourMs;
+
+constexpr Setting Port(std::string_view Name, std::string_view Default, std::string_view Help) {
+  return {.Name = Name,
+          .Kind = SettingKind::Integer,
+          .Default = Default,
+          .Min = 0,
+          .Max = MaxPort,
+          .Help = Help};
+}
+
+constexpr Setting Number(std::string_view Name, std::string_view Default, int64_t Min, int64_t Max,
+                         std::string_view Help) {
+  return {.Name = Name,
+          .Kind = SettingKind::Integer,
+          .Default = Default,
+          .Min = Min,
+          .Max = Max,
+          .Help = Help};
+}
+
+constexpr Setting Text(std::string_view Name, std::string_view Default, bool Required,
+                       std::string_view Help) {
+  return {.Name = Name,
+          .Default = Default,
+          .Required = Required,
+          .Min = Required ? 1 : 0,
+          .Max = 256,
+          .Help = Help};
+}
+
+constexpr Setting Table[] = {
+    Text("instance-id", "", true, "Name of this instance, the same as in the platform's list."),
+    Text("data-centre", "", true, "Data centre of this instance."),
+    Text("region", "", true, "Region of this instance."),
+    Text("platform-url", "http://127.0.0.1:8500", false, "Address of the platform."),
+    {.Name = "token-key",
+     .Required = true,
+     .Min = 16,
+     .Max = 256,
+     .Help = "Key of the session tokens, the same on all instances; better set by environment."},
+    Text("listen-host", "127.0.0.1", false, "IP number for callers."),
+    Port("listen-port", "6432", "Port for callers; 0: chosen by the system."),
+    Text("link-host", "127.0.0.1", false, "IP number for other instances and toucanctl."),
+    Port("link-port", "6433", "Port for other instances and toucanctl; 0: chosen by the system."),
+    Text("http-host", "127.0.0.1", false, "IP number for /health and /metrics."),
+    Port("http-port", "6434", "Port for /health and /metrics; 0: chosen by the system."),
+    Text("target-user", "toucanrun", false, "User name at the targets."),
+    Text("target-password", "", false, "Password at the targets; better set by environment."),
+    Number("max-callers", "20000", 1, 1'000'000, "Callers connected at the same time."),
+    Number("max-frame-bytes", "16777216", 1024, 1'073'741'824,
+           "Largest message of a caller, bytes."),
+    Number("request-timeout-ms", "30000", 10, DayMs, "Deadline of a request of class short, ms."),
+    Number("long-request-timeout-ms", "3600000", 10, DayMs,
+           "Deadline of a request of class long, ms."),
+    Number("queue-limit", "1000", 1, 1'000'000, "Queued requests for each database and class."),
+    Number("idle-in-transaction-ms", "60000", 100, DayMs,
+           "Time a transaction may be idle before it is rolled back, ms."),
+    Number("confirm-timeout-ms", "5000", 10, HourMs,
+           "Time a majority may take to confirm a write, ms."),
+    Number("probe-interval-ms", "300", 10, 60'000, "Interval of status probes of a target, ms."),
+    Number("platform-timeout-ms", "2000", 10, 60'000, "Time the platform may take to answer, ms."),
+    Number("drain-notice-ms", "1000", 0, HourMs,
+           "Time between not ready and the end of accepting callers, ms."),
+    Number("drain-timeout-ms", "30000", 0, DayMs,
+           "Time for requests and transactions under way at shutdown, ms."),
+    {.Name = "log-level",
+     .Kind = SettingKind::Choice,
+     .Default = "info",
+     .Choices = "debug|info|warn|error",
+     .Help = "Lowest level that is logged."},
+};
+
+absl::Duration milliseconds(const SettingValues &Values, std::string_view Name) {
+  return absl::Milliseconds(Values.integer(Name));
+}
+
+uint16_t port(const SettingValues &Values, std::string_view Name) {
+  return static_cast<uint16_t>(Values.integer(Name));
+}
+
+} // namespace
+
+const std::string_view Usage = R"(toucanrund: database proxy with session consistency.
+
+Usage:
+  toucanrund [options]
+  toucanrund --help
+  toucanrund --version
+
+Exit codes: 0 shut down with no request cut, 1 start failed or requests were cut at the drain
+deadline, 2 wrong setting or command line.
+)";
+
+std::span<const Setting> settingsTable() { return Table; }
+
+DaemonOptions makeOptions(const SettingValues &V, uint64_t Incarnation) {
+  InstanceId Self(V.text("instance-id"));
+  return {
+      .Self = Self,
+      .Incarnation = Incarnation,
+      .At = {.Dc = DataCentre(V.text("data-centre")), .InRegion = Region(V.text("region"))},
+      .LogLevel = V.text("log-level"),
+      .HttpHost = V.text("http-host"),
+      .HttpPort = port(V, "http-port"),
+      .LinkHost = V.text("link-host"),
+      .DrainNotice = milliseconds(V, "drain-notice-ms"),
+      .DrainTimeout = milliseconds(V, "drain-timeout-ms"),
+      .Entry = {.Self = Self,
+                .ListenHost = V.text("listen-host"),
+                .ListenPort = port(V, "listen-port"),
+                .MaxCallers = static_cast<size_t>(V.integer("max-callers")),
+                .MaxFrameBytes = static_cast<size_t>(V.integer("max-frame-bytes")),
+                .TokenKey = V.text("token-key"),
+                .RequestTimeout = milliseconds(V, "request-timeout-ms"),
+                .LongRequestTimeout = milliseconds(V, "long-request-timeout-ms"),
+                .Seed = Incarnation},
+      .Pool = {.Self = Self,
+               .TargetUser = V.text("target-user"),
+               .TargetPassword = V.text("target-password"),
+               .QueueLimit = static_cast<size_t>(V.integer("queue-limit")),
+               .ConfirmTimeout = milliseconds(V, "confirm-timeout-ms"),
+               .IdleInTransaction = milliseconds(V, "idle-in-transaction-ms"),
+               .Seed = Incarnation},
+      .Group = {.Self = Self,
+                .Incarnation = Incarnation,
+                .TargetUser = V.text("target-user"),
+                .TargetPassword = V.text("target-password"),
+                .ProbeInterval = milliseconds(V, "probe-interval-ms"),
+                .ProbeTimeout = milliseconds(V, "probe-interval-ms"),
+                .Seed = Incarnation},
+      .Link = {.Self = Self,
+               .Incarnation = Incarnation,
+               .Host = V.text("link-host"),
+               .Port = port(V, "link-port")},
+      .Platform = {.Url = V.text("platform-url"),
+                   .Timeout = milliseconds(V, "platform-timeout-ms")},
+  };
+}
+
+} // namespace toucan::daemon
--- /dev/null
+++ b/src/daemon/platform_thread.cpp
@@ -0,0 +1,105 @@
+#include "daemon/platform_thread.h"
+
+#include "absl/strings/str_format.h"
+
+namespace toucan::daemon {
+
+namespace {
+
+constexpr size_t MaxAnnouncements = 1000;
+const std::string RulesKey = "config/rules";
+
+} // namespace
+
+PlatformThread::PlatformThread(platform::ClientOptions O, PlatformHandlers H, Metrics &M)
+    : Client(std::move(O)), Handlers(std::move(H)), Counters(M) {}
+
+PlatformThread::~PlatformThread() { this->stop(); }
+
+void PlatformThread::start() {
+  this->Thread = std::thread([this] { this->run(); });
+}
+
+void PlatformThread::stop() {
+  {
+    absl::MutexLock Lock(&this->Mutex);
+    this->Stopped = true;
+  }
+  if (this->Thread.joinable())
+    this->Thread.join();
+}
+
+void PlatformThread::setInterval(absl::Duration Wanted) {
+  absl::MutexLock Lock(&this->Mutex);
+  this->Interval = Wanted;
+}
+
+void PlatformThread::announcePrimary(const DatabaseName &Database, Term InTerm,
+                                     const TargetId &Primary) {
+  absl::MutexLock Lock(&this->Mutex);
+  if (this->Announcements.size() >= MaxAnnouncements)
+    this->Announcements.pop_front();
+  this->Announcements.push_back(
+      {.Key = absl::StrFormat("group/%s", Database.Value),
+       .Value = absl::StrFormat("{\"term\":%d,\"primary\":\"%s\"}", InTerm.Value, Primary.Value)});
+}
+
+void PlatformThread::run() {
+  Instant NextRead = absl::InfinitePast();
+  while (true) {
+    std::deque<Announcement> Todo;
+    {
+      absl::MutexLock Lock(&this->Mutex);
+      absl::Duration Wait = NextRead - monotonicNow();
+      this->Mutex.AwaitWithTimeout(absl::Condition(
+                                       +[](PlatformThread *T) ABSL_NO_THREAD_SAFETY_ANALYSIS {
+                                         return T->Stopped || !T->Announcements.empty();
+                                       },
+                                       this),
+                                   Wait);
+      if (this->Stopped)
+        return;
+      Todo.swap(this->Announcements);
+    }
+    for (const Announcement &A : Todo)
+      this->writeOne(A);
+    if (monotonicNow() < NextRead)
+      continue;
+    this->readOnce();
+    absl::MutexLock Lock(&this->Mutex);
+    NextRead = monotonicNow() + this->Interval;
+  }
+}
+
+void PlatformThread::readOnce() {
+  Captured<platform::Directory> Lists = capture([&] { return this->Client.directory(); });
+  this->noteOutcome(static_cast<bool>(Lists), Lists.Problem.Message);
+  if (Lists)
+    this->Handlers.OnDirectory(std::move(*Lists));
+  Captured<platform::Row> Rules = capture([&] { return this->Client.read(RulesKey); });
+  if (Rules)
+    this->Handlers.OnRules(std::move(*Rules));
+}
+
+// Writes a discovery row unless a later term is there already. A lost answer needs no care: the
+// row is only a cache.
+void PlatformThread::writeOne(const Announcement &A) {
+  Captured<platform::Row> Old = capture([&] { return this->Client.read(A.Key); });
+  if (!Old || Old->Value == A.Value)
+    return;
+  platform::WriteOutcome Out = this->Client.compareAndSet(A.Key, Old->Version, A.Value);
+  if (Out.Result != platform::Written::Done)
+    this->Counters.add("platform_announcement_failures_total");
+}
+
+// Logs changes between reachable and not, not each failure.
+void PlatformThread::noteOutcome(bool Ok, std::string_view Cause) {
+  this->Counters.add(Ok ? "platform_reads_total" : "platform_failures_total");
+  if (Ok == this->LastOk)
+    return;
+  this->LastOk = Ok;
+  LogEvent(Ok ? LogLevel::Info : LogLevel::Warn, Ok ? "platform_back" : "platform_down")
+      .kv("cause", Cause);
+}
+
+} // namespace toucan::daemon
--- /dev/null
+++ b/src/daemon/platform_thread.h
@@ -0,0 +1,61 @@
+// Thread that reads the platform's lists and the rules row, so that no other thread waits for them.
+#ifndef TOUCAN_DAEMON_PLATFORM_THREAD_H
+#define TOUCAN_DAEMON_PLATFORM_THREAD_H
+
+#include "base/base.h"
+#include "platform/platform.h"
+
+#include "absl/base/thread_annotations.h"
+#include "absl/synchronization/mutex.h"
+
+#include <atomic>
+#include <deque>
+#include <functional>
+#include <string>
+#include <thread>
+
+namespace toucan::daemon {
+
+struct PlatformHandlers {
+  // Called in the platform thread.
+  std::function<void(platform::Directory)> OnDirectory;
+  std::function<void(platform::Row)> OnRules;
+};
+
+class PlatformThread {
+public:
+  PlatformThread(platform::ClientOptions Options, PlatformHandlers Handlers, Metrics &Counters);
+  ~PlatformThread();
+
+  void start();
+  void stop();
+  // Interval between two reads; grows with the member count (member::RulesState).
+  void setInterval(absl::Duration Interval);
+  // Records the primary of a database in the discovery row; lost while the platform is down.
+  void announcePrimary(const DatabaseName &Database, Term InTerm, const TargetId &Primary);
+
+private:
+  struct Announcement {
+    std::string Key;
+    std::string Value;
+  };
+
+  void run();
+  void readOnce();
+  void writeOne(const Announcement &A);
+  void noteOutcome(bool Ok, std::string_view Cause);
+
+  platform::Client Client;
+  PlatformHandlers Handlers;
+  Metrics &Counters;
+  bool LastOk = true;
+  absl::Mutex Mutex;
+  bool Stopped ABSL_GUARDED_BY(Mutex) = false;
+  absl::Duration Interval ABSL_GUARDED_BY(Mutex) = absl::Seconds(1);
+  std::deque<Announcement> Announcements ABSL_GUARDED_BY(Mutex);
+  std::thread Thread;
+};
+
+} // namespace toucan::daemon
+
+#endif // TOUCAN_DAEMON_PLATFORM_THREAD_H
--- /dev/null
+++ b/src/link/link.cpp
@@ -0,0 +1,272 @@
+#include "link/link.h"
+
+#include "absl/strings/str_format.h"
+
+#include <sys/epoll.h>
+#include <zmq.hpp>
+
+#include <cassert>
+
+namespace toucan::link {
+
+namespace {
+
+constexpr int IoThreads = 1;
+// A peer that was sent nothing for this long is not pinged any more.
+constexpr absl::Duration PingAfterUse = absl::Seconds(10);
+// Messages handled before the loop serves its other descriptors.
+constexpr int MaxMessagesPerRound = 256;
+
+} // namespace
+
+struct LinkService::Impl {
+  struct Peer {
+    PeerAddress Address;
+    std::unique_ptr<zmq::socket_t> Dealer;
+    Instant LastSent = absl::InfinitePast();
+    Instant LastHeard = absl::InfinitePast();
+    // Silence is measured from here: the first message after a pause, or the last one heard.
+    Instant SilentSince = absl::InfiniteFuture();
+  };
+
+  Loop &InLoop;
+  LinkOptions Options;
+  LinkHandlers Handlers;
+  Metrics &Counters;
+  zmq::context_t Context{IoThreads};
+  zmq::socket_t Router{Context, zmq::socket_type::router};
+  uint16_t BoundPort = 0;
+  int RouterFd = -1;
+  std::map<InstanceId, Peer> Peers;
+  uint64_t PingCount = 0;
+  TimerId PingTimer;
+
+  Impl(Loop &L, LinkOptions O, LinkHandlers H, Metrics &M)
+      : InLoop(L), Options(std::move(O)), Handlers(std::move(H)), Counters(M) {}
+
+  Result<void> bind();
+  void onReadable();
+  bool receiveOne();
+  void dispatch(const std::string &RoutingId, proto::Envelope Message);
+  void reply(const std::string &RoutingId, const proto::Envelope &Message);
+  bool send(const InstanceId &To, proto::Envelope Message);
+  bool sendTo(Peer &P, proto::Envelope &Message);
+  void connect(Peer &P);
+  void drop(const InstanceId &Id, std::string_view Cause);
+  void pingPeers();
+  void schedulePing();
+};
+
+Result<void> LinkService::Impl::bind() {
+  std::string Address =
+      absl::StrFormat("tcp://%s:%s", this->Options.Host,
+                      this->Options.Port == 0 ? "*" : absl::StrFormat("%d", this->Options.Port));
+  try {
+    this->Router.set(zmq::sockopt::linger, 0);
+    this->Router.set(zmq::sockopt::sndhwm, this->Options.SendQueueMessages);
+    this->Router.bind(Address);
+    std::string Bound = this->Router.get(zmq::sockopt::last_endpoint);
+    this->BoundPort = static_cast<uint16_t>(std::stoi(Bound.substr(Bound.rfind(':') + 1)));
+    this->RouterFd = this->Router.get(zmq::sockopt::fd);
+  } catch (const zmq::error_t &E) {
+    return failure(absl::StrFormat("link address %s cannot be bound: %s", Address, E.what()));
+  }
+  this->InLoop.watch(this->RouterFd, EPOLLIN, [this](uint32_t) { this->onReadable(); });
+  this->schedulePing();
+  return {};
+}
+
+// The descriptor of a ZeroMQ socket tells only that something happened; messages must be read until
+// none is left, else the next event is missed.
+void LinkService::Impl::onReadable() {
+  for (int I = 0; I < MaxMessagesPerRound; ++I)
+    if (!this->receiveOne())
+      return;
+  this->InLoop.post([this] { this->onReadable(); });
+}
+
+bool LinkService::Impl::receiveOne() {
+  zmq::message_t RoutingId;
+  zmq::message_t Body;
+  if (!this->Router.recv(RoutingId, zmq::recv_flags::dontwait))
+    return false;
+  if (!RoutingId.more())
+    return true;
+  [[maybe_unused]] auto Size = this->Router.recv(Body, zmq::recv_flags::dontwait);
+  bool Extra = Body.more();
+  while (Extra) {
+    zmq::message_t Rest;
+    [[maybe_unused]] auto More = this->Router.recv(Rest, zmq::recv_flags::dontwait);
+    Extra = Rest.more();
+  }
+  this->Counters.add("link_received_bytes_total", Body.size());
+  proto::Envelope Message;
+  if (!Message.ParseFromArray(Body.data(), static_cast<int>(Body.size()))) {
+    this->Counters.add("link_malformed_total");
+    LogEvent(LogLevel::Warn, "link_malformed_message").kv("bytes", Body.size());
+    return true;
+  }
+  this->dispatch(RoutingId.to_string(), std::move(Message));
+  return true;
+}
+
+void LinkService::Impl::dispatch(const std::string &RoutingId, proto::Envelope Message) {
+  if (Message.from().empty()) {
+    this->Handlers.OnAdmin(std::move(Message), [this, RoutingId](const proto::Envelope &Answer) {
+      this->reply(RoutingId, Answer);
+    });
+    return;
+  }
+  InstanceId From(Message.from());
+  auto It = this->Peers.find(From);
+  if (It != this->Peers.end()) {
+    It->second.LastHeard = this->InLoop.now();
+    It->second.SilentSince = absl::InfiniteFuture();
+  }
+  if (Message.has_ping()) {
+    proto::Envelope Answer;
+    Answer.mutable_pong()->set_sequence(Message.ping().sequence());
+    this->send(From, std::move(Answer));
+    return;
+  }
+  if (Message.has_pong())
+    return;
+  this->Handlers.OnMessage(From, std::move(Message));
+}
+
+void LinkService::Impl::reply(const std::string &RoutingId, const proto::Envelope &Message) {
+  zmq::message_t Id(RoutingId.data(), RoutingId.size());
+  std::string Bytes = Message.SerializeAsString();
+  // A reply to a tool that has gone is dropped by the ROUTER socket.
+  this->Router.send(Id, zmq::send_flags::sndmore | zmq::send_flags::dontwait);
+  this->Router.send(zmq::message_t(Bytes.data(), Bytes.size()), zmq::send_flags::dontwait);
+}
+
+bool LinkService::Impl::send(const InstanceId &To, proto::Envelope Message) {
+  auto It = this->Peers.find(To);
+  if (It == this->Peers.end())
+    return false;
+  Peer &P = It->second;
+  // Answers to a ping do not count as use: two idle peers would ping each other for ever.
+  bool Use = !Message.has_pong() && !Message.has_ping() && !Message.has_heartbeat();
+  if (!this->sendTo(P, Message))
+    return false;
+  if (Use) {
+    P.LastSent = this->InLoop.now();
+    if (P.SilentSince == absl::InfiniteFuture())
+      P.SilentSince = this->InLoop.now();
+  }
+  return true;
+}
+
+bool LinkService::Impl::sendTo(Peer &P, proto::Envelope &Message) {
+  if (!P.Dealer)
+    this->connect(P);
+  Message.set_from(this->Options.Self.Value);
+  Message.set_incarnation(this->Options.Incarnation);
+  std::string Bytes = Message.SerializeAsString();
+  bool Sent = false;
+  try {
+    Sent = P.Dealer->send(zmq::message_t(Bytes.data(), Bytes.size()), zmq::send_flags::dontwait)
+               .has_value();
+  } catch (const zmq::error_t &E) {
+    LogEvent(LogLevel::Warn, "link_send_failed")
+        .kv("peer", P.Address.Endpoint)
+        .kv("cause", E.what());
+  }
+  this->Counters.add(Sent ? "link_sent_bytes_total" : "link_send_failures_total",
+                     Sent ? Bytes.size() : 1);
+  return Sent;
+}
+
+void LinkService::Impl::connect(Peer &P) {
+  P.Dealer = std::make_unique<zmq::socket_t>(this->Context, zmq::socket_type::dealer);
+  P.Dealer->set(zmq::sockopt::linger, 0);
+  P.Dealer->set(zmq::sockopt::sndhwm, this->Options.SendQueueMessages);
+  P.Dealer->set(zmq::sockopt::connect_timeout,
+                static_cast<int>(absl::ToInt64Milliseconds(this->Options.LostAfter)));
+  P.Dealer->set(zmq::sockopt::heartbeat_ivl,
+                static_cast<int>(absl::ToInt64Milliseconds(this->Options.PingInterval)));
+  P.Dealer->set(zmq::sockopt::heartbeat_timeout,
+                static_cast<int>(absl::ToInt64Milliseconds(this->Options.LostAfter)));
+  P.Dealer->connect(absl::StrFormat("tcp://%s", P.Address.Endpoint));
+}
+
+// Closes the sender of a peer and reports the loss.
+void LinkService::Impl::drop(const InstanceId &Id, std::string_view Cause) {
+  Peer &P = this->Peers.at(Id);
+  P.Dealer.reset();
+  P.SilentSince = absl::InfiniteFuture();
+  P.LastSent = absl::InfinitePast();
+  this->Counters.add("link_lost_total");
+  LogEvent(LogLevel::Warn, "link_lost").kv("peer", Id.Value).kv("cause", Cause);
+  this->Handlers.OnPeerLost(Id);
+}
+
+void LinkService::Impl::pingPeers() {
+  // Messages that arrived while this process was stopped are counted before silence is judged.
+  this->onReadable();
+  Instant Now = this->InLoop.now();
+  std::vector<InstanceId> Lost;
+  for (auto &[Id, P] : this->Peers) {
+    if (P.SilentSince + this->Options.LostAfter <= Now) {
+      Lost.push_back(Id);
+      continue;
+    }
+    if (P.LastSent + PingAfterUse < Now)
+      continue;
+    proto::Envelope Ping;
+    Ping.mutable_ping()->set_sequence(++this->PingCount);
+    this->sendTo(P, Ping);
+    if (P.SilentSince == absl::InfiniteFuture())
+      P.SilentSince = Now;
+  }
+  for (const InstanceId &Id : Lost)
+    this->drop(Id, "silent");
+  this->schedulePing();
+}
+
+void LinkService::Impl::schedulePing() {
+  this->PingTimer = this->InLoop.at(this->InLoop.now() + this->Options.PingInterval,
+                                    [this] { this->pingPeers(); });
+}
+
+LinkService::LinkService(Loop &InLoop, LinkOptions Options, LinkHandlers Handlers,
+                         Metrics &Counters)
+    : State(std::make_unique<Impl>(InLoop, std::move(Options), std::move(Handlers), Counters)) {}
+
+LinkService::~LinkService() {
+  this->State->InLoop.cancel(this->State->PingTimer);
+  if (this->State->RouterFd >= 0)
+    this->State->InLoop.unwatch(this->State->RouterFd);
+}
+
+Result<void> LinkService::bind() { return this->State->bind(); }
+
+uint16_t LinkService::port() const { return this->State->BoundPort; }
+
+void LinkService::setPeers(std::map<InstanceId, PeerAddress> Wanted) {
+  auto &Peers = this->State->Peers;
+  std::vector<InstanceId> Restarted;
+  for (auto &[Id, P] : Peers) {
+    auto It = Wanted.find(Id);
+    bool Gone = It == Wanted.end();
+    bool Moved = !Gone && It->second.Endpoint != P.Address.Endpoint;
+    bool Reborn =
+        !Gone && P.Address.Incarnation != 0 && It->second.Incarnation != P.Address.Incarnation;
+    if (Gone || Moved || Reborn)
+      Restarted.push_back(Id);
+  }
+  for (const InstanceId &Id : Restarted) {
+    this->State->drop(Id, "restarted, moved or removed");
+    Peers.erase(Id);
+  }
+  for (auto &[Id, Address] : Wanted)
+    Peers[Id].Address = Address;
+}
+
+bool LinkService::send(const InstanceId &To, proto::Envelope Message) {
+  return this->State->send(To, std::move(Message));
+}
+
+} // namespace toucan::link
--- /dev/null
+++ b/src/link/link_test.cpp
@@ -0,0 +1,121 @@
+#include "link/link.h"
+
+#include <doctest/doctest.h>
+
+#include <optional>
+#include <vector>
+
+using namespace toucan;
+using namespace toucan::link;
+
+namespace {
+
+// One end of a link with what it has received.
+struct End {
+  Metrics Counters;
+  std::vector<proto::Envelope> Received;
+  std::vector<InstanceId> Lost;
+  LinkService Service;
+
+  End(Loop &L, const std::string &Id, std::function<void()> OnEvent)
+      : Service(L,
+                {.Self = InstanceId(Id),
+                 .Incarnation = 1,
+                 .PingInterval = absl::Milliseconds(50),
+                 .LostAfter = absl::Milliseconds(200)},
+                {.OnMessage =
+                     [this, OnEvent](const InstanceId &, proto::Envelope M) {
+                       this->Received.push_back(std::move(M));
+                       OnEvent();
+                     },
+                 .OnAdmin =
+                     [](const proto::Envelope &, const std::function<void(proto::Envelope)> &R) {
+                       proto::Envelope Answer;
+                       Answer.mutable_drain_reply()->set_accepted(true);
+                       R(Answer);
+                     },
+                 .OnPeerLost =
+                     [this, OnEvent](const InstanceId &Peer) {
+                       this->Lost.push_back(Peer);
+                       OnEvent();
+                     }},
+                this->Counters) {}
+};
+
+std::string address(const End &E) { return "127.0.0.1:" + std::to_string(E.Service.port()); }
+
+proto::Envelope cancel(uint64_t Id) {
+  proto::Envelope M;
+  M.mutable_cancel()->set_request_id(Id);
+  return M;
+}
+
+constexpr absl::Duration TestLimit = absl::Seconds(20);
+
+} // namespace
+
+TEST_CASE("messages arrive in order with the sender's name") {
+  Loop L;
+  size_t Arrived = 0;
+  End B(L, "b", [&] {
+    if (++Arrived == 500)
+      L.stop();
+  });
+  End A(L, "a", [] {});
+  REQUIRE(capture([&] { return A.Service.bind(); }));
+  REQUIRE(capture([&] { return B.Service.bind(); }));
+  A.Service.setPeers({{InstanceId("b"), {.Endpoint = address(B)}}});
+  B.Service.setPeers({{InstanceId("a"), {.Endpoint = address(A)}}});
+  for (uint64_t I = 0; I < 500; ++I)
+    CHECK(A.Service.send(InstanceId("b"), cancel(I)));
+  CHECK_FALSE(A.Service.send(InstanceId("c"), cancel(0)));
+  L.at(monotonicNow() + TestLimit, [&] { L.stop(); });
+  L.run();
+  REQUIRE(B.Received.size() == 500);
+  for (uint64_t I = 0; I < 500; ++I)
+    CHECK(B.Received[I].cancel().request_id() == I);
+  CHECK(B.Received[0].from() == "a");
+  CHECK(A.Lost.empty());
+}
+
+// Guards against a request that waits for ever because its link went silent, and against messages
+// delivered after the sender has given up.
+TEST_CASE("a silent peer is reported lost and its queued messages are dropped") {
+  Loop L;
+  std::optional<End> A;
+  A.emplace(L, "a", [&] { L.stop(); });
+  REQUIRE(capture([&] { return A->Service.bind(); }));
+  uint16_t Port = 0;
+  {
+    End Gone(L, "b", [] {});
+    REQUIRE(capture([&] { return Gone.Service.bind(); }));
+    Port = Gone.Service.port();
+  }
+  std::string Endpoint = "127.0.0.1:" + std::to_string(Port);
+  A->Service.setPeers({{InstanceId("b"), {.Endpoint = Endpoint}}});
+  A->Service.send(InstanceId("b"), cancel(1));
+  L.at(monotonicNow() + TestLimit, [&] { L.stop(); });
+  L.run();
+  REQUIRE(A->Lost.size() == 1);
+  CHECK(A->Lost[0] == InstanceId("b"));
+}
+
+TEST_CASE("a restart of a peer is a loss of its link") {
+  Loop L;
+  End A(L, "a", [] {});
+  REQUIRE(capture([&] { return A.Service.bind(); }));
+  A.Service.setPeers({{InstanceId("b"), {.Endpoint = "127.0.0.1:9", .Incarnation = 1}}});
+  A.Service.setPeers({{InstanceId("b"), {.Endpoint = "127.0.0.1:9", .Incarnation = 2}}});
+  CHECK(A.Lost.size() == 1);
+}
+
+TEST_CASE("a port that is taken is a clear error") {
+  Loop L;
+  End A(L, "a", [] {});
+  REQUIRE(capture([&] { return A.Service.bind(); }));
+  Metrics M;
+  LinkService Second(L, {.Self = InstanceId("b"), .Port = A.Service.port()}, {}, M);
+  auto Bound = capture([&] { return Second.bind(); });
+  REQUIRE_FALSE(Bound);
+  CHECK(Bound.Problem.Message.find(std::to_string(A.Service.port())) != std::string::npos);
+}
--- /dev/null
+++ b/src/member/membership.cpp
@@ -0,0 +1,284 @@
+#include "member/membership.h"
+
+#include <algorithm>
+#include <cassert>
+#include <cmath>
+
+namespace toucan::member {
+
+namespace {
+
+// Each change is piggybacked this many times the logarithm of the member count, which reaches all
+// members with high probability.
+constexpr double SendsPerLogMember = 3;
+
+State stateOf(const proto::MemberRecord &R) { return static_cast<State>(R.state()); }
+
+// Decides whether New says more than Old: a later incarnation, then a later sequence; at the same
+// sequence a worse state wins, because only the member itself may improve its state.
+bool supersedes(const proto::MemberRecord &New, const proto::MemberRecord &Old) {
+  if (New.incarnation() != Old.incarnation())
+    return New.incarnation() > Old.incarnation();
+  if (New.sequence() != Old.sequence())
+    return New.sequence() > Old.sequence();
+  // Draining is announced with a new sequence; at the same sequence it is not worse than Alive.
+  if (stateOf(New) == State::Draining || stateOf(Old) == State::Draining)
+    return stateOf(New) == State::Dead && stateOf(Old) != State::Dead;
+  return New.state() > Old.state();
+}
+
+} // namespace
+
+Membership::Membership(MembershipOptions O) : Options(std::move(O)), Random(this->Options.Seed) {
+  this->Self.set_instance(this->Options.Self.Value);
+  this->Self.set_link_endpoint(this->Options.LinkEndpoint);
+  this->Self.set_data_centre(this->Options.At.Dc.Value);
+  this->Self.set_region(this->Options.At.InRegion.Value);
+  this->Self.set_incarnation(this->Options.Incarnation);
+  this->Self.set_state(static_cast<uint32_t>(State::Alive));
+  this->Self.set_sequence(1);
+}
+
+std::vector<OutgoingHeartbeat> Membership::onList(const std::vector<Listed> &List, Instant Now) {
+  std::vector<OutgoingHeartbeat> Out;
+  for (auto &[Id, P] : this->Peers)
+    P.OnList = false;
+  for (const Listed &L : List) {
+    if (L.Id == this->Options.Self)
+      continue;
+    auto [It, New] = this->Peers.try_emplace(L.Id);
+    Peer &P = It->second;
+    P.OnList = true;
+    if (New) {
+      // Incarnation 0: any word of the member itself supersedes the list.
+      P.Record.set_instance(L.Id.Value);
+      P.Record.set_link_endpoint(L.LinkEndpoint);
+      P.Record.set_data_centre(L.At.Dc.Value);
+      P.Record.set_region(L.At.InRegion.Value);
+      P.Record.set_state(static_cast<uint32_t>(State::Suspect));
+      P.DeadDeadline = Now + this->Options.DeadAfter;
+      ++this->ChangeCount;
+      this->startProbe(L.Id, Now, Out);
+    }
+    if (L.Leaving && stateOf(P.Record) == State::Alive)
+      this->setState(P, State::Draining, Now);
+  }
+  return Out;
+}
+
+std::vector<OutgoingHeartbeat> Membership::onHeartbeat(const proto::Heartbeat &Message,
+                                                       Instant Now) {
+  std::vector<OutgoingHeartbeat> Out;
+  InstanceId From(Message.self().instance());
+  if (From.Value.empty() || From == this->Options.Self)
+    return Out;
+  this->merge(Message.self(), Now);
+  Peer &P = this->Peers[From];
+  // A late message of an earlier incarnation says nothing about the present one.
+  if (Message.self().incarnation() == P.Record.incarnation()) {
+    P.Heard = true;
+    P.LastHeard = Now;
+    P.AckDeadline = absl::InfiniteFuture();
+    P.Record.set_rules_version(std::max(P.Record.rules_version(), Message.self().rules_version()));
+    if (stateOf(P.Record) == State::Suspect || stateOf(P.Record) == State::Dead)
+      this->setState(P, stateOf(Message.self()), Now);
+  }
+  bool Refuted = false;
+  for (const proto::MemberRecord &R : Message.changes()) {
+    if (R.instance() == this->Options.Self.Value)
+      Refuted |= this->refute(R);
+    else
+      this->merge(R, Now);
+  }
+  if (Message.probe())
+    Out.push_back(this->message(From, false));
+  if (Refuted)
+    for (OutgoingHeartbeat &H : this->push(Now))
+      Out.push_back(std::move(H));
+  return Out;
+}
+
+std::vector<OutgoingHeartbeat> Membership::tick(Instant Now) {
+  std::vector<OutgoingHeartbeat> Out;
+  for (auto It = this->Peers.begin(); It != this->Peers.end();) {
+    Peer &P = It->second;
+    if (P.AckDeadline <= Now) {
+      P.AckDeadline = absl::InfiniteFuture();
+      if (stateOf(P.Record) == State::Alive || stateOf(P.Record) == State::Draining)
+        this->setState(P, State::Suspect, Now);
+    }
+    if (P.DeadDeadline <= Now)
+      this->setState(P, State::Dead, Now);
+    if (P.ForgetDeadline <= Now && !P.OnList) {
+      It = this->Peers.erase(It);
+      ++this->ChangeCount;
+      continue;
+    }
+    ++It;
+  }
+  if (Now < this->NextProbe)
+    return Out;
+  this->NextProbe = Now + this->Options.ProbeInterval;
+  for (const InstanceId &Id : this->pickProbeTargets())
+    this->startProbe(Id, Now, Out);
+  return Out;
+}
+
+std::vector<OutgoingHeartbeat> Membership::setRulesVersion(RulesVersion Version, Instant Now) {
+  if (Version.Value <= this->Self.rules_version())
+    return {};
+  this->Self.set_rules_version(Version.Value);
+  return this->push(Now);
+}
+
+std::vector<OutgoingHeartbeat> Membership::setDraining(Instant Now) {
+  this->Self.set_state(static_cast<uint32_t>(State::Draining));
+  this->raiseSequence();
+  return this->push(Now);
+}
+
+std::vector<Member> Membership::members() const {
+  std::vector<Member> Out;
+  auto Add = [&](const proto::MemberRecord &R) {
+    Out.push_back({.Id = InstanceId(R.instance()),
+                   .LinkEndpoint = R.link_endpoint(),
+                   .At = {DataCentre(R.data_centre()), Region(R.region())},
+                   .Status = stateOf(R),
+                   .Incarnation = R.incarnation(),
+                   .Rules = RulesVersion(R.rules_version())});
+  };
+  Add(this->Self);
+  for (const auto &[Id, P] : this->Peers)
+    Add(P.Record);
+  return Out;
+}
+
+double Membership::heardShare(Instant Since) const {
+  size_t Known = 0;
+  size_t Heard = 0;
+  for (const auto &[Id, P] : this->Peers) {
+    ++Known;
+    Heard += P.LastHeard >= Since ? 1 : 0;
+  }
+  return Known == 0 ? 1.0 : static_cast<double>(Heard) / static_cast<double>(Known);
+}
+
+// Takes over a record that supersedes the known one. Returns true if it did.
+bool Membership::merge(const proto::MemberRecord &Record, Instant Now) {
+  InstanceId Id(Record.instance());
+  if (Id.Value.empty() || Id == this->Options.Self)
+    return false;
+  auto [It, New] = this->Peers.try_emplace(Id);
+  Peer &P = It->second;
+  if (!New && !supersedes(Record, P.Record))
+    return false;
+  if (New && stateOf(Record) == State::Dead) {
+    this->Peers.erase(It);
+    return false;
+  }
+  bool NewIncarnation = Record.incarnation() != P.Record.incarnation();
+  uint64_t Rules = NewIncarnation ? 0 : P.Record.rules_version();
+  State Before = stateOf(P.Record);
+  P.Record = Record;
+  P.Record.set_rules_version(std::max(Rules, Record.rules_version()));
+  if (NewIncarnation)
+    P.Heard = false;
+  if (New || NewIncarnation || Before != stateOf(Record))
+    this->setState(P, stateOf(Record), Now);
+  else
+    this->noteChange(Id);
+  return true;
+}
+
+// Answers a rumour about this instance: a sequence above the rumour's keeps it alive. Returns true
+// if there was something to refute.
+bool Membership::refute(const proto::MemberRecord &Record) {
+  if (Record.incarnation() != this->Self.incarnation() ||
+      Record.sequence() < this->Self.sequence() || Record.state() == this->Self.state())
+    return false;
+  this->Self.set_sequence(Record.sequence());
+  this->raiseSequence();
+  return true;
+}
+
+void Membership::setState(Peer &P, State Status, Instant Now) {
+  P.Record.set_state(static_cast<uint32_t>(Status));
+  P.DeadDeadline =
+      Status == State::Suspect ? Now + this->Options.DeadAfter : absl::InfiniteFuture();
+  P.ForgetDeadline =
+      Status == State::Dead ? Now + this->Options.ForgetAfter : absl::InfiniteFuture();
+  ++this->ChangeCount;
+  this->noteChange(InstanceId(P.Record.instance()));
+}
+
+// Queues a record for piggybacking; a newer record of the same member replaces an older one.
+void Membership::noteChange(const InstanceId &Id) {
+  std::erase_if(this->Changes, [&](const Change &C) { return C.Id == Id; });
+  double Log = std::log2(static_cast<double>(this->Peers.size()) + 2);
+  this->Changes.push_front(
+      {.Id = Id, .SendsLeft = static_cast<size_t>(std::ceil(SendsPerLogMember * Log))});
+}
+
+void Membership::raiseSequence() { this->Self.set_sequence(this->Self.sequence() + 1); }
+
+// Members to probe now: the next ones of a shuffled round, so that each is probed once in a round
+// and no member waits longer than one round.
+std::vector<InstanceId> Membership::pickProbeTargets() {
+  if (this->ProbeOrder.size() < this->Options.Fanout) {
+    std::vector<InstanceId> All;
+    for (const auto &[Id, P] : this->Peers)
+      All.push_back(Id);
+    std::shuffle(All.begin(), All.end(), this->Random);
+    this->ProbeOrder.insert(this->ProbeOrder.begin(), All.begin(), All.end());
+  }
+  std::vector<InstanceId> Out;
+  while (Out.size() < this->Options.Fanout && !this->ProbeOrder.empty()) {
+    InstanceId Id = this->ProbeOrder.back();
+    this->ProbeOrder.pop_back();
+    if (this->Peers.contains(Id) && std::find(Out.begin(), Out.end(), Id) == Out.end())
+      Out.push_back(Id);
+  }
+  return Out;
+}
+
+OutgoingHeartbeat Membership::message(const InstanceId &To, bool Probe) {
+  OutgoingHeartbeat Out{.To = To};
+  *Out.Message.mutable_self() = this->Self;
+  Out.Message.set_probe(Probe);
+  // What is known of the receiver goes along, so that it can refute a suspicion.
+  auto It = this->Peers.find(To);
+  if (It != this->Peers.end() && stateOf(It->second.Record) != State::Alive &&
+      It->second.Record.incarnation() != 0)
+    *Out.Message.add_changes() = It->second.Record;
+  size_t Count = std::min(this->Changes.size(), this->Options.MaxChanges);
+  for (size_t I = 0; I < Count; ++I) {
+    Change C = this->Changes.front();
+    this->Changes.pop_front();
+    auto Known = this->Peers.find(C.Id);
+    if (Known == this->Peers.end())
+      continue;
+    if (Known->second.Record.incarnation() != 0)
+      *Out.Message.add_changes() = Known->second.Record;
+    if (--C.SendsLeft > 0)
+      this->Changes.push_back(C);
+  }
+  return Out;
+}
+
+// Sends news at once instead of at the next interval.
+std::vector<OutgoingHeartbeat> Membership::push(Instant Now) {
+  std::vector<OutgoingHeartbeat> Out;
+  for (const InstanceId &Id : this->pickProbeTargets())
+    this->startProbe(Id, Now, Out);
+  return Out;
+}
+
+void Membership::startProbe(const InstanceId &Id, Instant Now,
+                            std::vector<OutgoingHeartbeat> &Out) {
+  Peer &P = this->Peers[Id];
+  // A probe under way keeps its deadline; otherwise pushes could put off a suspicion for ever.
+  P.AckDeadline = std::min(P.AckDeadline, Now + this->Options.AckTimeout);
+  Out.push_back(this->message(Id, true));
+}
+
+} // namespace toucan::member
--- /dev/null
+++ b/src/member/rules_state.cpp
@@ -0,0 +1,39 @@
+#include "member/rules_state.h"
+
+#include <algorithm>
+
+namespace toucan::member {
+
+RulesState::RulesState(RulesStateOptions O)
+    : Options(O), Rules(std::make_shared<const rules::RuleSet>()) {}
+
+Result<bool> RulesState::offer(RulesVersion Offered, const std::string &Text) {
+  if (Offered <= this->Version)
+    return false;
+  BOOST_LEAF_AUTO(Parsed, rules::RuleSet::parse(Text, "config/rules"));
+  this->Rules = std::make_shared<const rules::RuleSet>(std::move(Parsed));
+  this->Version = Offered;
+  this->Learned = true;
+  return true;
+}
+
+void RulesState::onStoreRead(Instant Now) {
+  this->LastStoreRead = Now;
+  this->Learned = true;
+}
+
+Instant RulesState::nextStoreRead(Instant Last, size_t MemberCount) const {
+  absl::Duration Share =
+      absl::Seconds(static_cast<double>(MemberCount) / this->Options.StoreReadsPerSecond);
+  return Last + std::max(this->Options.MinStoreInterval, Share);
+}
+
+bool RulesState::known(Instant Now, double PeerShare) const {
+  if (!this->Learned)
+    return false;
+  if (this->LastStoreRead >= this->isolatedSince(Now))
+    return true;
+  return PeerShare > 0.5;
+}
+
+} // namespace toucan::member
