Load tool with open-loop arrivals

Ruled out: a client library; thousands of callers in one thread need the plain frames of wire. No functional change.

--- /dev/null
+++ b/bench/load.cpp
@@ -0,0 +1,338 @@
+#include "bench/load.h"
+
+#include "absl/strings/str_replace.h"
+
+#include <arpa/inet.h>
+#include <netinet/tcp.h>
+#include <sys/epoll.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <cassert>
+#include <cmath>
+#include <functional>
+
+namespace toucan::bench {
+
+namespace {
+
+constexpr size_t MaxFrameBytes = 64 * 1024 * 1024;
+constexpr size_t ReadBytes = 64 * 1024;
+constexpr absl::Duration SurgeTime = absl::Seconds(1);
+constexpr absl::Duration ReconnectPause = absl::Milliseconds(100);
+
+constexpr std::array<std::string_view, OutcomeCount> OutcomeNames = {
+    "good", "late", "not_run", "may_have_run", "failed", "lost", "unanswered"};
+
+// A request that was due at a time.
+struct Job {
+  size_t StreamIndex = 0;
+  Instant Scheduled;
+};
+
+// Connection of one caller.
+class Caller {
+public:
+  using OnDone = std::function<void(Caller &, const Job &, Outcome)>;
+  using OnIdle = std::function<void(Caller &)>;
+
+  Caller(Loop &L, Address A, std::string Database, OnDone Done, OnIdle Idle)
+      : InLoop(L), To(std::move(A)), Database(std::move(Database)), Done(std::move(Done)),
+        Idle(std::move(Idle)) {}
+  ~Caller() { this->closeSocket(); }
+
+  void connect();
+  bool idle() const { return this->Ready && !this->Current; }
+  void send(Job J, const std::string &Sql, Instant Deadline);
+  // The request under way, at the end of the run.
+  const std::optional<Job> &current() const { return this->Current; }
+
+private:
+  void onEvent(uint32_t Events);
+  void onFrame(const wire::Frame &F);
+  void onReady();
+  void flush();
+  void lose();
+  void closeSocket();
+
+  Loop &InLoop;
+  Address To;
+  std::string Database;
+  OnDone Done;
+  OnIdle Idle;
+  int Fd = -1;
+  bool Ready = false;
+  std::string Out;
+  wire::FrameReader Reader{MaxFrameBytes};
+  std::optional<Job> Current;
+  Instant Deadline;
+  std::optional<Outcome> ErrorOutcome;
+};
+
+void Caller::connect() {
+  this->closeSocket();
+  this->Reader = wire::FrameReader(MaxFrameBytes);
+  this->Fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  int On = 1;
+  setsockopt(this->Fd, IPPROTO_TCP, TCP_NODELAY, &On, sizeof On);
+  sockaddr_in Addr{};
+  Addr.sin_family = AF_INET;
+  Addr.sin_port = htons(this->To.Port);
+  inet_pton(AF_INET, this->To.Host.c_str(), &Addr.sin_addr);
+  ::connect(this->Fd, reinterpret_cast<sockaddr *>(&Addr), sizeof Addr);
+  this->Out = wire::startup({{"user", "load"}, {"database", this->Database}});
+  this->InLoop.watch(this->Fd, EPOLLIN | EPOLLOUT, [this](uint32_t E) { this->onEvent(E); });
+}
+
+void Caller::send(Job J, const std::string &Sql, Instant D) {
+  assert(this->idle());
+  this->Current = J;
+  this->Deadline = D;
+  this->ErrorOutcome.reset();
+  this->Out += wire::query(Sql);
+  this->flush();
+}
+
+void Caller::onEvent(uint32_t Events) {
+  if (Events & EPOLLOUT)
+    this->flush();
+  if (this->Fd < 0 || !(Events & (EPOLLIN | EPOLLHUP | EPOLLERR)))
+    return;
+  std::array<char, ReadBytes> Buffer;
+  ssize_t Count = recv(this->Fd, Buffer.data(), Buffer.size(), 0);
+  if (Count == 0 || (Count < 0 && errno != EAGAIN)) {
+    this->lose();
+    return;
+  }
+  if (Count < 0)
+    return;
+  this->Reader.append(std::string_view(Buffer.data(), static_cast<size_t>(Count)));
+  wire::Frame F;
+  while (this->Fd >= 0 && this->Reader.next(F) == wire::ReadStatus::Ready)
+    this->onFrame(F);
+}
+
+void Caller::onFrame(const wire::Frame &F) {
+  if (F.Type == 'Z') {
+    this->onReady();
+  } else if (F.Type == 'E') {
+    wire::ErrorFields Fields = wire::parseError(F.Body).value_or(wire::ErrorFields());
+    bool NotRun = Fields['M'].find("has not run") != std::string::npos;
+    this->ErrorOutcome = Fields['C'] == "08007" ? Outcome::MayHaveRun
+                         : NotRun               ? Outcome::NotRun
+                                                : Outcome::Failed;
+  }
+}
+
+void Caller::onReady() {
+  this->Ready = true;
+  if (this->Current) {
+    Job J = *this->Current;
+    this->Current.reset();
+    Outcome InTime = monotonicNow() <= this->Deadline ? Outcome::Good : Outcome::Late;
+    this->Done(*this, J, this->ErrorOutcome.value_or(InTime));
+  }
+  if (this->idle())
+    this->Idle(*this);
+}
+
+void Caller::flush() {
+  while (!this->Out.empty()) {
+    ssize_t Count = ::send(this->Fd, this->Out.data(), this->Out.size(), MSG_NOSIGNAL);
+    if (Count <= 0)
+      break;
+    this->Out.erase(0, static_cast<size_t>(Count));
+  }
+  this->InLoop.rewatch(this->Fd, this->Out.empty() ? EPOLLIN : EPOLLIN | EPOLLOUT);
+}
+
+// Counts the request under way and connects again after a pause.
+void Caller::lose() {
+  this->closeSocket();
+  if (this->Current) {
+    Job J = *this->Current;
+    this->Current.reset();
+    this->Done(*this, J, this->ErrorOutcome.value_or(Outcome::Lost));
+  }
+  this->InLoop.at(this->InLoop.now() + ReconnectPause, [this] { this->connect(); });
+}
+
+void Caller::closeSocket() {
+  this->Ready = false;
+  if (this->Fd < 0)
+    return;
+  this->InLoop.unwatch(this->Fd);
+  close(this->Fd);
+  this->Fd = -1;
+}
+
+// One run: callers, arrivals and results.
+class Run {
+public:
+  explicit Run(const LoadOptions &O);
+  std::vector<StreamResult> finish();
+
+private:
+  void openCallers();
+  void closedCallers();
+  void scheduleArrivals();
+  void arrive();
+  void onDone(const Job &J, Outcome O);
+  void onIdle(Caller &C);
+  void give(Caller &C, const Job &J);
+  Caller &addCaller(Caller::OnIdle Idle);
+
+  const LoadOptions &Options;
+  Loop L;
+  std::mt19937_64 Random;
+  Instant End;
+  uint64_t Numbers = 0;
+  std::vector<std::unique_ptr<Caller>> Callers;
+  std::vector<Caller *> IdleCallers;
+  std::deque<Job> Backlog;
+  std::vector<StreamResult> Results;
+};
+
+Run::Run(const LoadOptions &O) : Options(O), Random(O.Seed) {
+  for (const Stream &S : O.Streams)
+    this->Results.push_back({.Name = S.Name});
+  this->End = monotonicNow() + O.Duration;
+  this->openCallers();
+  this->closedCallers();
+  if (!O.Surge)
+    this->scheduleArrivals();
+  // Answers to the last requests may come until their deadline.
+  this->L.at(this->End + O.Deadline, [this] { this->L.stop(); });
+}
+
+Caller &Run::addCaller(Caller::OnIdle Idle) {
+  const Address &A = this->Options.Proxies[this->Callers.size() % this->Options.Proxies.size()];
+  this->Callers.push_back(std::make_unique<Caller>(
+      this->L, A, this->Options.Database,
+      [this](Caller &, const Job &J, Outcome O) { this->onDone(J, O); }, std::move(Idle)));
+  return *this->Callers.back();
+}
+
+void Run::openCallers() {
+  std::uniform_real_distribution<double> Share(0, 1);
+  for (size_t I = 0; I < this->Options.Callers; ++I) {
+    Caller &C = this->addCaller([this](Caller &Idle) { this->onIdle(Idle); });
+    if (!this->Options.Surge) {
+      C.connect();
+      continue;
+    }
+    Instant At = monotonicNow() + SurgeTime * Share(this->Random);
+    this->L.at(At, [this, &C, At] {
+      this->Backlog.push_back({.StreamIndex = 0, .Scheduled = At});
+      C.connect();
+    });
+  }
+}
+
+void Run::closedCallers() {
+  for (size_t S = 0; S < this->Options.Streams.size(); ++S) {
+    for (size_t I = 0; I < this->Options.Streams[S].ClosedCallers; ++I) {
+      Caller &C = this->addCaller([this, S](Caller &Idle) {
+        if (monotonicNow() < this->End)
+          this->give(Idle, {.StreamIndex = S, .Scheduled = monotonicNow()});
+      });
+      C.connect();
+    }
+  }
+}
+
+void Run::scheduleArrivals() {
+  // Callers connect in the first part of the run; arrivals start after it.
+  Instant Start = monotonicNow() + SurgeTime;
+  for (size_t S = 0; S < this->Options.Streams.size(); ++S) {
+    double Rate = this->Options.Streams[S].PerSecond;
+    if (Rate <= 0)
+      continue;
+    std::exponential_distribution<double> Gap(Rate);
+    for (Instant At = Start; At < this->End; At += absl::Seconds(Gap(this->Random)))
+      this->L.at(At, [this, S, At] {
+        this->Backlog.push_back({.StreamIndex = S, .Scheduled = At});
+        this->arrive();
+      });
+  }
+}
+
+// Gives due requests to idle callers, the oldest first.
+void Run::arrive() {
+  while (!this->IdleCallers.empty() && !this->Backlog.empty()) {
+    Caller *C = this->IdleCallers.back();
+    this->IdleCallers.pop_back();
+    if (!C->idle())
+      continue;
+    Job J = this->Backlog.front();
+    this->Backlog.pop_front();
+    this->give(*C, J);
+  }
+}
+
+void Run::onIdle(Caller &C) {
+  if (this->Backlog.empty()) {
+    this->IdleCallers.push_back(&C);
+    return;
+  }
+  Job J = this->Backlog.front();
+  this->Backlog.pop_front();
+  this->give(C, J);
+}
+
+void Run::give(Caller &C, const Job &J) {
+  std::string Sql = absl::StrReplaceAll(this->Options.Streams[J.StreamIndex].Sql,
+                                        {{"%d", absl::StrCat(++this->Numbers)}});
+  C.send(J, Sql, J.Scheduled + this->Options.Deadline);
+}
+
+void Run::onDone(const Job &J, Outcome O) {
+  StreamResult &R = this->Results[J.StreamIndex];
+  ++R.Outcomes[static_cast<size_t>(O)];
+  double Ms = absl::ToDoubleMilliseconds(monotonicNow() - J.Scheduled);
+  if (O == Outcome::Good || O == Outcome::Late)
+    R.AnsweredMs.push_back(Ms);
+  else if (O == Outcome::NotRun)
+    R.RefusedMs.push_back(Ms);
+}
+
+std::vector<StreamResult> Run::finish() {
+  this->L.run();
+  auto CountUnanswered = [&](const Job &J) {
+    ++this->Results[J.StreamIndex].Outcomes[static_cast<size_t>(Outcome::Unanswered)];
+  };
+  for (const std::unique_ptr<Caller> &C : this->Callers)
+    if (C->current())
+      CountUnanswered(*C->current());
+  for (const Job &J : this->Backlog)
+    CountUnanswered(J);
+  this->Callers.clear();
+  return std::move(this->Results);
+}
+
+} // namespace
+
+std::string_view outcomeName(Outcome O) { return OutcomeNames[static_cast<size_t>(O)]; }
+
+uint64_t StreamResult::sent() const {
+  uint64_t Sum = 0;
+  for (uint64_t Count : this->Outcomes)
+    Sum += Count;
+  return Sum;
+}
+
+double quantile(std::vector<double> Samples, double Q) {
+  assert(Q >= 0 && Q <= 1);
+  if (Samples.empty())
+    return 0;
+  size_t Rank = static_cast<size_t>(std::ceil(Q * static_cast<double>(Samples.size())));
+  size_t Index = Rank == 0 ? 0 : Rank - 1;
+  std::nth_element(Samples.begin(), Samples.begin() + static_cast<std::ptrdiff_t>(Index),
+                   Samples.end());
+  return Samples[Index];
+}
+
+std::vector<StreamResult> runLoad(const LoadOptions &Options) { return Run(Options).finish(); }
+
+} // namespace toucan::bench
--- /dev/null
+++ b/bench/load.h
@@ -0,0 +1,76 @@
+// Load tool: open-loop arrivals from a seeded generator, many callers over the PostgreSQL protocol.
+// Latency counts from the scheduled arrival, so a slow system does not slow its own measurement
+// down (coordinated omission).
+#ifndef TOUCAN_BENCH_LOAD_H
+#define TOUCAN_BENCH_LOAD_H
+
+#include "base/base.h"
+#include "wire/wire.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <memory>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace toucan::bench {
+
+struct Address {
+  std::string Host;
+  uint16_t Port = 0;
+};
+
+// One stream of equal requests.
+struct Stream {
+  std::string Name;
+  std::string Sql;          // %d is replaced by a number that grows with each request
+  double PerSecond = 0;     // open-loop arrivals; 0: closed loop
+  size_t ClosedCallers = 0; // closed loop: callers that send the next request after each answer
+};
+
+struct LoadOptions {
+  std::vector<Address> Proxies;
+  std::string Database;
+  std::vector<Stream> Streams;
+  size_t Callers = 100; // connections for the open-loop streams
+  bool Surge = false;   // every open-loop caller connects in the first second and sends one request
+  absl::Duration Duration = absl::Seconds(10);
+  absl::Duration Deadline = absl::Seconds(2); // an answer after it is not counted as good
+  uint64_t Seed = 1;
+};
+
+enum class Outcome : uint8_t {
+  Good,       // answered within the deadline
+  Late,       // answered after the deadline
+  NotRun,     // refused, and the refusal says that the request has not run
+  MayHaveRun, // SQLSTATE 08007
+  Failed,     // another error of the target or the proxy
+  Lost,       // the connection ended without an answer
+  Unanswered, // no answer when the run ended
+  Count
+};
+
+inline constexpr size_t OutcomeCount = static_cast<size_t>(Outcome::Count);
+std::string_view outcomeName(Outcome O);
+
+struct StreamResult {
+  std::string Name;
+  std::array<uint64_t, OutcomeCount> Outcomes{};
+  std::vector<double> AnsweredMs; // latencies of good and late answers
+  std::vector<double> RefusedMs;  // latencies of NotRun refusals
+
+  uint64_t sent() const;
+};
+
+// The value below which the share Q (0 to 1) of the samples lies; 0 without samples.
+double quantile(std::vector<double> Samples, double Q);
+
+// Runs the load in its own loop and returns one result for each stream.
+std::vector<StreamResult> runLoad(const LoadOptions &Options);
+
+} // namespace toucan::bench
+
+#endif // TOUCAN_BENCH_LOAD_H
--- /dev/null
+++ b/bench/load_main.cpp
@@ -0,0 +1,151 @@
+// toucan-load: drives callers against proxies or database servers and prints one line a stream.
+#include "bench/load.h"
+
+#include "base/settings.h"
+
+#include "absl/strings/numbers.h"
+#include "absl/strings/str_split.h"
+
+#include <cstdio>
+
+using namespace toucan;
+using namespace toucan::bench;
+
+namespace {
+
+constexpr std::string_view Usage = R"(toucan-load: load tool for toucanrun and its stand-ins.
+
+Usage:
+  toucan-load [options]
+  toucan-load --help
+
+Prints one line of key=value pairs for each stream; latencies in milliseconds, from the scheduled
+arrival. Exit codes: 0 the run ended, 2 wrong setting.
+)";
+
+constexpr Setting Table[] = {
+    {.Name = "proxies",
+     .Required = true,
+     .Min = 1,
+     .Max = 1000,
+     .Help = "Comma-separated HOST:PORT, IP numbers; callers are spread over them."},
+    {.Name = "database", .Required = true, .Min = 1, .Max = 64, .Help = "Database name."},
+    {.Name = "callers",
+     .Kind = SettingKind::Integer,
+     .Default = "50",
+     .Min = 1,
+     .Max = 20000,
+     .Help = "Connections of the open-loop streams."},
+    {.Name = "short-rate",
+     .Kind = SettingKind::Integer,
+     .Default = "100",
+     .Min = 0,
+     .Max = 100000,
+     .Help = "Arrivals of short requests, 1/s."},
+    {.Name = "short-sql", .Default = "select sleep_ms(5)", .Help = "Short request; %d: a number."},
+    {.Name = "write-rate",
+     .Kind = SettingKind::Integer,
+     .Default = "0",
+     .Min = 0,
+     .Max = 100000,
+     .Help = "Arrivals of writes, 1/s."},
+    {.Name = "write-sql", .Default = "", .Help = "Write; %d: a number."},
+    {.Name = "long-callers",
+     .Kind = SettingKind::Integer,
+     .Default = "0",
+     .Min = 0,
+     .Max = 1000,
+     .Help = "Callers that repeat the long request without pause."},
+    {.Name = "long-sql", .Default = "select sleep_ms(3000)", .Help = "Long request."},
+    {.Name = "mode",
+     .Kind = SettingKind::Choice,
+     .Default = "steady",
+     .Choices = "steady|surge",
+     .Help = "Surge: every caller connects in the first second and sends one short request."},
+    {.Name = "duration-ms",
+     .Kind = SettingKind::Integer,
+     .Default = "10000",
+     .Min = 100,
+     .Max = 3600000,
+     .Help = "Time of the run, ms."},
+    {.Name = "deadline-ms",
+     .Kind = SettingKind::Integer,
+     .Default = "2000",
+     .Min = 1,
+     .Max = 3600000,
+     .Help = "Later answers are not good, ms."},
+    {.Name = "seed",
+     .Kind = SettingKind::Integer,
+     .Default = "1",
+     .Min = 1,
+     .Max = 1000000000,
+     .Help = "Seed of the arrivals."},
+};
+
+Result<std::vector<Address>> parseAddresses(const std::string &Text) {
+  std::vector<Address> Out;
+  for (const std::string &Item : std::vector<std::string>(absl::StrSplit(Text, ','))) {
+    std::vector<std::string> Parts = absl::StrSplit(Item, ':');
+    int Port = 0;
+    if (Parts.size() != 2 || !absl::SimpleAtoi(Parts[1], &Port) || Port < 1 || Port > 65535)
+      return failure("setting \"proxies\": \"" + Item + "\" is not HOST:PORT");
+    Out.push_back({.Host = Parts[0], .Port = static_cast<uint16_t>(Port)});
+  }
+  return Out;
+}
+
+Result<LoadOptions> makeOptions(const SettingValues &V) {
+  LoadOptions O;
+  BOOST_LEAF_AUTO(Proxies, parseAddresses(V.text("proxies")));
+  O.Proxies = std::move(Proxies);
+  O.Database = V.text("database");
+  O.Callers = static_cast<size_t>(V.integer("callers"));
+  O.Surge = V.text("mode") == "surge";
+  O.Duration = absl::Milliseconds(V.integer("duration-ms"));
+  O.Deadline = absl::Milliseconds(V.integer("deadline-ms"));
+  O.Seed = static_cast<uint64_t>(V.integer("seed"));
+  O.Streams.push_back({.Name = "short",
+                       .Sql = V.text("short-sql"),
+                       .PerSecond = static_cast<double>(V.integer("short-rate"))});
+  if (V.integer("write-rate") > 0)
+    O.Streams.push_back({.Name = "write",
+                         .Sql = V.text("write-sql"),
+                         .PerSecond = static_cast<double>(V.integer("write-rate"))});
+  if (V.integer("long-callers") > 0)
+    O.Streams.push_back({.Name = "long",
+                         .Sql = V.text("long-sql"),
+                         .ClosedCallers = static_cast<size_t>(V.integer("long-callers"))});
+  return O;
+}
+
+void print(const StreamResult &R) {
+  std::printf("stream=%s sent=%llu", R.Name.c_str(), static_cast<unsigned long long>(R.sent()));
+  for (size_t I = 0; I < OutcomeCount; ++I)
+    std::printf(" %s=%llu", std::string(outcomeName(static_cast<Outcome>(I))).c_str(),
+                static_cast<unsigned long long>(R.Outcomes[I]));
+  std::printf(" p50=%.2f p99=%.2f max=%.2f refused_p99=%.2f\n", quantile(R.AnsweredMs, 0.5),
+              quantile(R.AnsweredMs, 0.99), quantile(R.AnsweredMs, 1), quantile(R.RefusedMs, 0.99));
+}
+
+} // namespace
+
+int main(int Argc, char **Argv) {
+  std::vector<std::string> Args(Argv + 1, Argv + Argc);
+  auto Line = capture([&] { return parseCommandLine(Usage, Table, "TOUCANLOAD_", "0.1.0", Args); });
+  if (!Line) {
+    std::fprintf(stderr, "toucan-load: %s\n", Line.Problem.Message.c_str());
+    return 2;
+  }
+  if (Line->Print) {
+    std::fputs(Line->Print->c_str(), stdout);
+    return 0;
+  }
+  auto Options = capture([&] { return makeOptions(Line->Settings); });
+  if (!Options) {
+    std::fprintf(stderr, "toucan-load: %s\n", Options.Problem.Message.c_str());
+    return 2;
+  }
+  for (const StreamResult &R : runLoad(*Options))
+    print(R);
+  return 0;
+}
