Parse, check, look up and compare rules

Change: RuleSet holds hash maps by database, then by table or fingerprint. A fingerprint rule goes before table rules. Two rules for the same object are refused, since they could contradict each other, and so are bytes that are not UTF-8, since the store holds JSON text.

--- /dev/null
+++ b/src/rules/lookup.cpp
@@ -0,0 +1,76 @@
+#include "rules/rules.h"
+
+#include <algorithm>
+
+namespace toucan::rules {
+
+// The fingerprint's rule, else the smallest value of all tables, else the primary only. A statement
+// without tables has nothing that a rule could allow to be old.
+absl::Duration RuleSet::maxAge(const DatabaseRules &Rules, const RequestFacts &Facts) {
+  auto Exact = Rules.Reads.ByFingerprint.find(Facts.Fingerprint);
+  if (Exact != Rules.Reads.ByFingerprint.end())
+    return Exact->second;
+  if (Facts.Tables.empty())
+    return absl::ZeroDuration();
+  absl::Duration Smallest = absl::InfiniteDuration();
+  for (const std::string &Table : Facts.Tables) {
+    auto It = Rules.Reads.ByTable.find(Table);
+    if (It == Rules.Reads.ByTable.end())
+      return absl::ZeroDuration();
+    Smallest = std::min(Smallest, It->second);
+  }
+  return Smallest;
+}
+
+// Any matching rule forbids repetition.
+bool RuleSet::isOnce(const DatabaseRules &Rules, const RequestFacts &Facts) {
+  return Rules.Onces.ByFingerprint.contains(Facts.Fingerprint) ||
+         std::any_of(Facts.Tables.begin(), Facts.Tables.end(),
+                     [&](const std::string &T) { return Rules.Onces.ByTable.contains(T); });
+}
+
+// The fingerprint's rule, else long if one of the tables is long.
+WorkClass RuleSet::classOf(const DatabaseRules &Rules, const RequestFacts &Facts) {
+  auto Exact = Rules.Classes.ByFingerprint.find(Facts.Fingerprint);
+  if (Exact != Rules.Classes.ByFingerprint.end())
+    return Exact->second;
+  for (const std::string &Table : Facts.Tables) {
+    auto It = Rules.Classes.ByTable.find(Table);
+    if (It != Rules.Classes.ByTable.end() && It->second == WorkClass::Long)
+      return WorkClass::Long;
+  }
+  return WorkClass::Short;
+}
+
+Policy RuleSet::policyFor(const RequestFacts &Facts) const {
+  auto It = this->Databases.find(Facts.Database.Value);
+  if (It == this->Databases.end())
+    return {};
+  return {.MaxAge = maxAge(It->second, Facts),
+          .Once = isOnce(It->second, Facts),
+          .Class = classOf(It->second, Facts)};
+}
+
+TargetState RuleSet::targetState(const DatabaseName &Database, const TargetId &Target) const {
+  auto It = this->Databases.find(Database.Value);
+  if (It == this->Databases.end())
+    return TargetState::Active;
+  auto Found = It->second.Targets.find(Target.Value);
+  return Found == It->second.Targets.end() ? TargetState::Active : Found->second;
+}
+
+std::string_view targetStateName(TargetState S) {
+  switch (S) {
+  case TargetState::Active:
+    return "active";
+  case TargetState::Joining:
+    return "joining";
+  case TargetState::Leaving:
+    return "leaving";
+  }
+  return "unknown";
+}
+
+std::string_view workClassName(WorkClass C) { return C == WorkClass::Long ? "long" : "short"; }
+
+} // namespace toucan::rules
--- /dev/null
+++ b/src/rules/parse.cpp
@@ -0,0 +1,347 @@
+#include "rules/rules.h"
+
+#include "absl/strings/str_format.h"
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+#include <optional>
+#include <utility>
+
+namespace toucan::rules {
+
+namespace {
+
+constexpr size_t MaxLineCharacters = 1000;
+constexpr size_t MaxRules = 10'000;
+constexpr size_t MaxNameCharacters = 63; // of an identifier in PostgreSQL
+constexpr absl::Duration MinMaxAge = absl::Milliseconds(1);
+constexpr absl::Duration MaxMaxAge = absl::Hours(24);
+
+enum class RuleKind : uint8_t { Read, Once, Class, Target };
+enum class Key : uint8_t { Database, Table, Fingerprint, MaxAge, Class, Target, State };
+constexpr size_t KeyCount = 7;
+constexpr std::array<std::string_view, KeyCount> KeyNames = {
+    "database", "table", "fingerprint", "max_age", "class", "target", "state"};
+
+// Keys of a rule word, all required. Selected rules take table= or fingerprint= as well.
+struct RuleForm {
+  std::string_view Word;
+  RuleKind Kind;
+  bool Selected;
+  std::vector<Key> Keys;
+};
+
+const std::array<RuleForm, 4> &ruleForms() {
+  static const std::array<RuleForm, 4> Forms = {{
+      {"read", RuleKind::Read, true, {Key::Database, Key::MaxAge}},
+      {"once", RuleKind::Once, true, {Key::Database}},
+      {"class", RuleKind::Class, true, {Key::Database, Key::Class}},
+      {"target", RuleKind::Target, false, {Key::Database, Key::Target, Key::State}},
+  }};
+  return Forms;
+}
+
+struct Word {
+  size_t Column = 0; // from 1; 0: absent
+  std::string_view Text;
+};
+
+std::string_view nameOf(Key K) { return KeyNames[static_cast<size_t>(K)]; }
+
+bool takes(const RuleForm &Form, Key K) {
+  bool Selects = Form.Selected && (K == Key::Table || K == Key::Fingerprint);
+  return Selects || std::find(Form.Keys.begin(), Form.Keys.end(), K) != Form.Keys.end();
+}
+
+// "database=, max_age= and table= or fingerprint=", for error texts.
+std::string keysText(const RuleForm &Form) {
+  std::string Out;
+  for (Key K : Form.Keys)
+    absl::StrAppendFormat(&Out, "%s%s=", Out.empty() ? "" : ", ", nameOf(K));
+  return Form.Selected ? absl::StrFormat("%s, and table= or fingerprint=", Out) : Out;
+}
+
+bool isBlank(char C) { return C == ' ' || C == '\t' || C == '\r'; }
+
+// Length of the UTF-8 character at the start of Text; 0 if it is malformed.
+size_t characterLength(std::string_view Text) {
+  auto Byte = [&](size_t I) { return static_cast<unsigned char>(Text[I]); };
+  unsigned char First = Byte(0);
+  size_t Length = First < 0x80 ? 1 : First < 0xC2 ? 0 : First < 0xE0 ? 2 : First < 0xF0 ? 3 : 4;
+  if (Length == 0 || First > 0xF4 || Text.size() < Length)
+    return 0;
+  for (size_t I = 1; I < Length; ++I)
+    if ((Byte(I) & 0xC0) != 0x80)
+      return 0;
+  // Overlong forms, surrogates and code points over U+10FFFF.
+  bool Bad = (First == 0xE0 && Byte(1) < 0xA0) || (First == 0xED && Byte(1) > 0x9F) ||
+             (First == 0xF0 && Byte(1) < 0x90) || (First == 0xF4 && Byte(1) > 0x8F);
+  return Bad ? 0 : Length;
+}
+
+// Reads a duration such as 500ms, 30s, 5m or 1h; fails on any other form and over 24 h.
+std::optional<absl::Duration> parseDuration(std::string_view Text) {
+  int64_t Number = 0;
+  auto [End, Problem] = std::from_chars(Text.data(), Text.data() + Text.size(), Number);
+  if (Problem != std::errc() || Number < 0 || Number > absl::ToInt64Milliseconds(MaxMaxAge))
+    return std::nullopt;
+  std::string_view Unit = Text.substr(static_cast<size_t>(End - Text.data()));
+  if (Unit == "ms")
+    return absl::Milliseconds(Number);
+  if (Unit == "s")
+    return absl::Seconds(Number);
+  if (Unit == "m")
+    return absl::Minutes(Number);
+  if (Unit == "h")
+    return absl::Hours(Number);
+  return std::nullopt;
+}
+
+// Reads 0x and 1 to 16 hexadecimal digits, not zero: zero stands for "no single statement".
+std::optional<uint64_t> parseFingerprint(std::string_view Text) {
+  if (!Text.starts_with("0x"))
+    return std::nullopt;
+  uint64_t Number = 0;
+  auto [End, Problem] = std::from_chars(Text.data() + 2, Text.data() + Text.size(), Number, 16);
+  if (Problem != std::errc() || End != Text.data() + Text.size() || Number == 0)
+    return std::nullopt;
+  return Number;
+}
+
+bool isName(std::string_view Text) {
+  return !Text.empty() && Text.size() <= MaxNameCharacters &&
+         std::all_of(Text.begin(), Text.end(),
+                     [](char C) { return C > ' ' && C < 0x7F && C != '=' && C != '"'; });
+}
+
+bool isTable(std::string_view Text) {
+  return isName(Text) && std::none_of(Text.begin(), Text.end(),
+                                      [](char C) { return C == '.' || (C >= 'A' && C <= 'Z'); });
+}
+
+} // namespace
+
+// Parses one rules file line by line.
+class Parser {
+public:
+  Parser(std::string_view Text, std::string_view FileName) : Text(Text), FileName(FileName) {}
+
+  Result<RuleSet> parse() {
+    this->Out.Text = std::string(this->Text);
+    std::string_view Rest = this->Text;
+    while (!Rest.empty()) {
+      size_t End = std::min(Rest.find('\n'), Rest.size());
+      ++this->LineNumber;
+      this->Line = Rest.substr(0, End);
+      BOOST_LEAF_CHECK(this->checkCharacters());
+      BOOST_LEAF_CHECK(this->parseLine());
+      Rest.remove_prefix(std::min(End + 1, Rest.size()));
+    }
+    return std::move(this->Out);
+  }
+
+private:
+  boost::leaf::error_id fail(size_t Column, std::string_view Cause) const {
+    return failure(
+        absl::StrFormat("%s:%d:%d: %s", this->FileName, this->LineNumber, Column, Cause));
+  }
+
+  // Refuses long lines, and characters that the store or a terminal cannot show.
+  Result<void> checkCharacters() const {
+    size_t Column = 1;
+    for (size_t I = 0; I < this->Line.size(); ++Column) {
+      if (Column > MaxLineCharacters)
+        return this->fail(Column,
+                          absl::StrFormat("line longer than %d characters", MaxLineCharacters));
+      size_t Length = characterLength(this->Line.substr(I));
+      auto Byte = static_cast<unsigned char>(this->Line[I]);
+      if (Length == 0)
+        return this->fail(Column, absl::StrFormat("byte 0x%02x is not valid UTF-8", Byte));
+      if ((Byte < ' ' && !isBlank(this->Line[I])) || Byte == 0x7F)
+        return this->fail(Column, absl::StrFormat("control character 0x%02x", Byte));
+      I += Length;
+    }
+    return {};
+  }
+
+  // Takes the next word; empty at the end of the line or at a comment.
+  Word next() {
+    while (this->At < this->Line.size() && isBlank(this->Line[this->At]))
+      ++this->At;
+    size_t Start = this->At;
+    while (this->At < this->Line.size() && !isBlank(this->Line[this->At]) &&
+           this->Line[this->At] != '#')
+      ++this->At;
+    return {.Column = Start + 1, .Text = this->Line.substr(Start, this->At - Start)};
+  }
+
+  Result<void> parseLine() {
+    this->At = 0;
+    this->RuleWord = this->next();
+    if (this->RuleWord.Text.empty())
+      return {};
+    const auto &Forms = ruleForms();
+    const auto *Form = std::find_if(Forms.begin(), Forms.end(), [&](const RuleForm &F) {
+      return F.Word == this->RuleWord.Text;
+    });
+    if (Form == Forms.end())
+      return this->fail(this->RuleWord.Column,
+                        absl::StrFormat("unknown rule \"%s\"; known: read, once, class, target",
+                                        this->RuleWord.Text));
+    if (++this->RuleCount > MaxRules)
+      return this->fail(this->RuleWord.Column, absl::StrFormat("more than %d rules", MaxRules));
+    this->Values.fill({});
+    size_t End = this->At;
+    for (Word W = this->next(); !W.Text.empty(); W = this->next()) {
+      BOOST_LEAF_CHECK(this->parsePair(*Form, W));
+      End = this->At;
+    }
+    BOOST_LEAF_CHECK(this->checkKeys(*Form));
+    BOOST_LEAF_CHECK(this->checkComment(End));
+    return this->addRule(Form->Kind);
+  }
+
+  Result<void> parsePair(const RuleForm &Form, const Word &W) {
+    size_t Equals = W.Text.find('=');
+    if (Equals == std::string_view::npos)
+      return this->fail(W.Column, absl::StrFormat("\"%s\" is neither key=value nor a comment; a "
+                                                  "comment starts with #",
+                                                  W.Text));
+    std::string_view Name = W.Text.substr(0, Equals);
+    const auto *It = std::find(KeyNames.begin(), KeyNames.end(), Name);
+    Key K = static_cast<Key>(It - KeyNames.begin());
+    if (It == KeyNames.end() || !takes(Form, K))
+      return this->fail(W.Column, absl::StrFormat("unknown key \"%s\" of rule %s; known: %s", Name,
+                                                  Form.Word, keysText(Form)));
+    Word &Value = this->Values[static_cast<size_t>(K)];
+    if (Value.Column != 0)
+      return this->fail(W.Column, absl::StrFormat("repeated key \"%s\"", Name));
+    Value = {.Column = W.Column, .Text = W.Text.substr(Equals + 1)};
+    return this->checkValue(K, Value);
+  }
+
+  Result<void> checkValue(Key K, const Word &Value) {
+    std::string_view Allowed;
+    switch (K) {
+    case Key::Database:
+    case Key::Target:
+      if (!isName(Value.Text))
+        Allowed = "1 to 63 printable ASCII characters without quote and =";
+      break;
+    case Key::Table:
+      if (!isTable(Value.Text))
+        Allowed = "1 to 63 printable ASCII characters, lower case, without schema";
+      break;
+    case Key::Fingerprint:
+      if (!parseFingerprint(Value.Text))
+        Allowed = "0x and 1 to 16 hexadecimal digits, not zero";
+      break;
+    case Key::MaxAge: {
+      std::optional<absl::Duration> Age = parseDuration(Value.Text);
+      if (!Age || *Age < MinMaxAge || *Age > MaxMaxAge)
+        Allowed = "1ms to 24h, as a whole number with ms, s, m or h";
+      break;
+    }
+    case Key::Class:
+      if (Value.Text != "short" && Value.Text != "long")
+        Allowed = "short, long";
+      break;
+    case Key::State:
+      if (Value.Text != "active" && Value.Text != "joining" && Value.Text != "leaving")
+        Allowed = "active, joining, leaving";
+      break;
+    }
+    if (Allowed.empty())
+      return {};
+    return this->fail(Value.Column,
+                      absl::StrFormat("value \"%s\" of %s is not allowed; allowed: %s", Value.Text,
+                                      nameOf(K), Allowed));
+  }
+
+  Result<void> checkKeys(const RuleForm &Form) const {
+    for (Key K : Form.Keys)
+      if (!this->has(K))
+        return this->fail(this->RuleWord.Column,
+                          absl::StrFormat("missing key \"%s\" of rule %s", nameOf(K), Form.Word));
+    if (!Form.Selected)
+      return {};
+    if (!this->has(Key::Table) && !this->has(Key::Fingerprint))
+      return this->fail(
+          this->RuleWord.Column,
+          absl::StrFormat("missing key \"table\" or \"fingerprint\" of rule %s", Form.Word));
+    if (this->has(Key::Table) && this->has(Key::Fingerprint))
+      return this->fail(
+          std::max(this->value(Key::Table).Column, this->value(Key::Fingerprint).Column),
+          "table= and fingerprint= exclude each other");
+    return {};
+  }
+
+  // End is the offset behind the last word, where the comment belongs.
+  Result<void> checkComment(size_t End) const {
+    if (this->At >= this->Line.size())
+      return this->fail(End + 1,
+                        "missing comment; it must name who asked for the rule, as in \"# fleet\"");
+    std::string_view Comment = this->Line.substr(this->At + 1);
+    if (std::all_of(Comment.begin(), Comment.end(), isBlank))
+      return this->fail(this->At + 1, "empty comment; it must name who asked for the rule");
+    return {};
+  }
+
+  Result<void> addRule(RuleKind Kind) {
+    RuleSet::DatabaseRules &Rules =
+        this->Out.Databases[std::string(this->value(Key::Database).Text)];
+    switch (Kind) {
+    case RuleKind::Read:
+      return this->addSelected(Rules.Reads, *parseDuration(this->value(Key::MaxAge).Text));
+    case RuleKind::Once:
+      return this->addSelected(Rules.Onces, true);
+    case RuleKind::Class:
+      return this->addSelected(Rules.Classes, this->value(Key::Class).Text == "long"
+                                                  ? WorkClass::Long
+                                                  : WorkClass::Short);
+    case RuleKind::Target: {
+      std::string_view State = this->value(Key::State).Text;
+      return this->addTo(Rules.Targets, std::string(this->value(Key::Target).Text),
+                         State == "joining"   ? TargetState::Joining
+                         : State == "leaving" ? TargetState::Leaving
+                                              : TargetState::Active);
+    }
+    }
+    return {};
+  }
+
+  template <class T> Result<void> addSelected(RuleSet::Selected<T> &Into, T Value) {
+    if (this->has(Key::Table))
+      return this->addTo(Into.ByTable, std::string(this->value(Key::Table).Text), Value);
+    return this->addTo(Into.ByFingerprint, *parseFingerprint(this->value(Key::Fingerprint).Text),
+                       Value);
+  }
+
+  // Two rules for the same object could contradict each other, so the second one is refused.
+  template <class Map, class T>
+  Result<void> addTo(Map &Into, typename Map::key_type Name, T Value) {
+    if (!Into.emplace(std::move(Name), Value).second)
+      return this->fail(this->RuleWord.Column,
+                        absl::StrFormat("repeated rule: an earlier %s rule has the same object",
+                                        this->RuleWord.Text));
+    return {};
+  }
+
+  const Word &value(Key K) const { return this->Values[static_cast<size_t>(K)]; }
+  bool has(Key K) const { return this->value(K).Column != 0; }
+
+  std::string_view Text, FileName, Line;
+  size_t LineNumber = 0;
+  size_t At = 0; // offset in Line behind the last word
+  size_t RuleCount = 0;
+  Word RuleWord;
+  std::array<Word, KeyCount> Values;
+  RuleSet Out;
+};
+
+Result<RuleSet> RuleSet::parse(std::string_view Text, std::string_view FileName) {
+  return Parser(Text, FileName).parse();
+}
+
+} // namespace toucan::rules
--- a/src/rules/rules.h
+++ b/src/rules/rules.h
@@ -5,8 +5,9 @@
 #include "base/error.h"
 #include "base/ids.h"
 
+#include "absl/container/flat_hash_map.h"
+
 #include <cstdint>
-#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -26,9 +27,11 @@
 // What the rules say of a request.
 struct Policy {
   // Oldest replica state that may serve the read; zero: the primary only. A read of several tables
-  // gets the smallest value of its tables, and zero if a table has no rule.
+  // gets the smallest value of its tables, and zero if a table has no rule. A rule for the
+  // fingerprint goes before the rules of the tables.
   absl::Duration MaxAge = absl::ZeroDuration();
-  bool Once = false; // may not be repeated
+  bool Once = false; // may not be repeated: a rule matches the fingerprint or one of the tables
+  // Of the fingerprint's rule; without one, long if a table is long.
   WorkClass Class = WorkClass::Short;
 };
 
@@ -44,30 +47,26 @@
   const std::string &text() const { return this->Text; }
 
 private:
-  struct ReadRule {
-    std::string Database, Table;
-    std::optional<uint64_t> Fingerprint;
-    absl::Duration MaxAge;
-  };
-  struct OnceRule {
-    std::string Database, Table;
-    std::optional<uint64_t> Fingerprint;
-  };
-  struct ClassRule {
-    std::string Database, Table;
-    std::optional<uint64_t> Fingerprint;
-    WorkClass Class = WorkClass::Short;
+  friend class Parser;
+
+  // Rules of one kind in one database. A fingerprint goes before tables.
+  template <class T> struct Selected {
+    absl::flat_hash_map<std::string, T> ByTable;
+    absl::flat_hash_map<uint64_t, T> ByFingerprint;
   };
-  struct TargetRule {
-    std::string Database, Target;
-    TargetState State = TargetState::Active;
+  struct DatabaseRules {
+    Selected<absl::Duration> Reads;
+    Selected<bool> Onces;
+    Selected<WorkClass> Classes;
+    absl::flat_hash_map<std::string, TargetState> Targets;
   };
 
+  static absl::Duration maxAge(const DatabaseRules &Rules, const RequestFacts &Facts);
+  static bool isOnce(const DatabaseRules &Rules, const RequestFacts &Facts);
+  static WorkClass classOf(const DatabaseRules &Rules, const RequestFacts &Facts);
+
   std::string Text;
-  std::vector<ReadRule> Reads;
-  std::vector<OnceRule> Onces;
-  std::vector<ClassRule> Classes;
-  std::vector<TargetRule> Targets;
+  absl::flat_hash_map<std::string, DatabaseRules> Databases;
 };
 
 // Lines that differ, each with its line number in its own file: "-4: ..." and "+5: ...".
