Measurement script for blocking, surge and failover

Cause: issue asks for figures from repeated runs with real processes. Change: scripts/measure.sh on top of scripts/cluster.sh, server sizes by environment. Ruled out: measuring inside unit tests, which would check absolute time. No functional change.

--- a/scripts/cluster.sh
+++ b/scripts/cluster.sh
@@ -5,6 +5,7 @@
 declare -A server_pid server_port
 declare -a proxy_pid proxy_port proxy_link proxy_http all_pids
 databases=(rounds orders stock)
+: "${SERVER_SLOTS:=3}" "${SERVER_CONNECTIONS:=25}" "${SERVER_CONNECT_DELAY_MS:=10}"
 places=("chc-1 canterbury" "dud-1 otago" "por-1 wellington")
 token_key=demo-key-0123456789abcdef
 
@@ -40,7 +41,8 @@
   local id=$1-$2
   mkdir -p "$work/data-$id"
   start "$id" "$bin/standin-db" --id="$id" --database="$1" --port="${3:-0}" \
-    --data-dir="$work/data-$id" --slots=3 --connections=25 --connect-delay-ms=10
+    --data-dir="$work/data-$id" --slots="$SERVER_SLOTS" --connections="$SERVER_CONNECTIONS" \
+    --connect-delay-ms="$SERVER_CONNECT_DELAY_MS"
   server_pid[$id]=$last_pid
   server_port[$id]=$(field port)
 }
@@ -66,7 +68,7 @@
       read -ra place <<<"${places[$((number - 1))]}"
       targets+="${targets:+,}{\"id\":\"$database-$number\",\"host\":\"127.0.0.1\",\"port\":${server_port[$database-$number]},\"data_centre\":\"${place[0]}\",\"region\":\"${place[1]}\",\"state\":\"live\"}"
     done
-    groups+="${groups:+,}{\"name\":\"$database\",\"slots\":3,\"connections\":25,\"targets\":[$targets]}"
+    groups+="${groups:+,}{\"name\":\"$database\",\"slots\":$SERVER_SLOTS,\"connections\":$SERVER_CONNECTIONS,\"targets\":[$targets]}"
   done
   curl -sf -X PUT -d "{\"groups\":[$groups]}" "$platform_url/admin/groups" >/dev/null
 }
--- /dev/null
+++ b/scripts/measure.sh
@@ -0,0 +1,109 @@
+#!/usr/bin/env bash
+# Measures blocking of short work behind long work, service in a reconnect surge, and the failover
+# gap, with real processes on loopback. Prints one line of key=value pairs a run.
+# Usage: scripts/measure.sh blocking|surge|failover [RUNS]   (default 5 runs)
+set -euo pipefail
+cd "$(dirname "$0")/.."
+what=${1:-}
+runs=${2:-5}
+case "$what" in
+  blocking|surge|failover) ;;
+  *) echo "usage: scripts/measure.sh blocking|surge|failover [RUNS]" >&2; exit 2 ;;
+esac
+scripts/build.sh plain toucanrund toucanctl toucan-load standin-db standin-platform
+bin=$PWD/build
+work=$(mktemp -d)
+# KerbNet's sizes: 2 slots, 30 connections, 25 ms for a connection.
+export SERVER_SLOTS=2 SERVER_CONNECTIONS=30 SERVER_CONNECT_DELAY_MS=25
+
+. scripts/cluster.sh
+databases=(orders)
+trap 'stop_all; rm -rf "$work"' EXIT
+
+all_proxies() {
+  local list="" port
+  for port in "${proxy_port[@]}"; do list+="${list:+,}127.0.0.1:$port"; done
+  echo "$list"
+}
+
+load() { "$bin/toucan-load" --proxies="$(all_proxies)" --database=orders "$@"; }
+
+prepare() {
+  cat >"$work/rules.txt" <<'R'
+class database=orders table=ledger class=long   # reconciliation: accounts
+R
+  "$bin/toucanctl" --platform-url="$platform_url" rules apply "$work/rules.txt" --base=0 >/dev/null
+  wait_for "tables" sql 0 orders "create table if not exists ledger(id integer primary key, v text)"
+  sql 0 orders "create table if not exists stock(id integer primary key, v text)"
+  sql 0 orders "insert into stock values (1, 'kerb 915 mm') on conflict do nothing"
+  sql 0 orders "insert into ledger values (1, 'x') on conflict do nothing"
+}
+
+# Short lookups of 5 ms at 100/s, alone and beside long work. Slots: 2 on the primary.
+measure_blocking() {
+  local run long
+  for run in $(seq "$runs"); do
+    for long in 0 1 3 9; do
+      echo "measure=blocking run=$run long=$long $(load --callers=40 --short-rate=100 \
+        --short-sql='select sleep_ms(5) from stock' --long-callers="$long" \
+        --long-sql='select sleep_ms(2000) from ledger' --duration-ms=8000 --deadline-ms=2000 \
+        --seed="$run" | tr '\n' ' ')"
+    done
+  done
+}
+
+# Every caller connects within one second and asks once; 5 and 20 times what 2 slots of 5 ms serve.
+measure_surge() {
+  local run factor
+  for run in $(seq "$runs"); do
+    for factor in 5 20; do
+      echo "measure=surge run=$run factor=$factor $(load --mode=surge --callers=$((400 * factor)) \
+        --short-sql='select sleep_ms(5) from stock' --duration-ms=6000 --deadline-ms=4000 \
+        --seed="$run")"
+    done
+  done
+}
+
+# Time from the loss of the primary to the first acknowledged write, seen by a caller that tries
+# each 20 ms; then every acknowledged write is looked up.
+measure_failover() {
+  local run how primary pid began now acked missing id
+  sql 0 orders "create table if not exists bookings(id integer primary key)"
+  for run in $(seq "$runs"); do
+    for how in KILL STOP; do
+      primary=$("$bin/toucanctl" --platform-url="$platform_url" targets |
+        awk '$1 == "orders" && /primary/ {print $2; exit}')
+      pid=${server_pid[$primary]}
+      acked=()
+      kill "-$how" "$pid"
+      began=$(date +%s%3N)
+      id=$((run * 1000))
+      [ "$how" = STOP ] && id=$((run * 1000 + 500))
+      while true; do
+        id=$((id + 1))
+        if sql 1 orders "insert into bookings values ($id)" >/dev/null 2>&1; then
+          acked+=("$id")
+          break
+        fi
+        sleep 0.02
+      done
+      now=$(date +%s%3N)
+      missing=0
+      for id in "${acked[@]}"; do
+        [ "$(sql 2 orders "select count(*) from bookings where id = $id")" = 1 ] || missing=$((missing + 1))
+      done
+      echo "measure=failover run=$run fault=$how gap_ms=$((now - began)) missing=$missing"
+      if [ "$how" = KILL ]; then
+        start_server orders "${primary##*-}" "${server_port[$primary]}"
+      else
+        kill -CONT "$pid"
+      fi
+      wait_for "rejoin of $primary" sh -c "'$bin/toucanctl' --platform-url=$platform_url targets | awk '\$2 == \"$primary\" && /replica/ {found = 1} END {exit !found}'"
+    done
+  done
+}
+
+start_all
+prepare
+echo "commit=$(git rev-parse --short HEAD) cores=$(nproc) load=$(cut -d' ' -f1 /proc/loadavg)"
+"measure_$what"
