Group monitor: first version of detection, change of primary and confirmation

Cause: the pool needs the primary of a group and the confirmation of writes; src/group had only its interface.

Change: Attempt holds the safety rules of a change of primary (majority of accepted answers, highest (log_term, received), one promote call for each term). Confirmer and Verifier decide when a majority holds a position or still accepts a term.

Ruled out: one connection for each server (a slow promote or a waiting group_wait would delay probes); comparing times to tell whether a probe was begun after a verify request (the loop reads its clock once a round, so probes are numbered instead).

--- /dev/null
+++ b/src/group/attempt.cpp
@@ -0,0 +1,68 @@
+#include "group/attempt.h"
+
+#include <algorithm>
+#include <cassert>
+#include <utility>
+
+namespace toucan::group {
+
+size_t majorityOf(size_t Servers) { return Servers / 2 + 1; }
+
+Attempt::Attempt(Term InTerm, std::string Proposer, std::vector<bool> Avoid, AttemptRules Rules)
+    : InTerm(InTerm), Proposer(std::move(Proposer)), Votes(Avoid.size()), Rejected(Avoid.size()),
+      Avoid(std::move(Avoid)), Rules(Rules) {}
+
+// A server whose answer names another proposer or a higher term is lost to this attempt.
+void Attempt::onAccept(size_t Server, const Status &Row) {
+  assert(Server < this->Votes.size());
+  if (this->At != Phase::Accepting)
+    return;
+  this->onTerm(Row.Accepted);
+  if (this->At != Phase::Accepting)
+    return;
+  size_t Needed = this->Rules.Quorum(this->Votes.size());
+  if (!Row.CallAccepted || Row.Accepted != this->InTerm || Row.Proposer != this->Proposer) {
+    this->Rejected[Server] = true;
+    size_t Lost = std::count(this->Rejected.begin(), this->Rejected.end(), true);
+    if (this->Votes.size() - Lost < Needed)
+      this->abandon();
+    return;
+  }
+  this->Votes[Server] = Vote{.LogTerm = Row.LogTerm, .Received = Row.Received};
+  size_t Accepted = std::count_if(this->Votes.begin(), this->Votes.end(),
+                                  [](const std::optional<Vote> &V) { return V.has_value(); });
+  if (Accepted >= Needed)
+    this->choose();
+}
+
+void Attempt::choose() {
+  std::optional<size_t> Best;
+  for (size_t I = 0; I < this->Votes.size(); ++I) {
+    if (!this->Votes[I])
+      continue;
+    bool Wins = !Best || this->Rules.Ahead(*this->Votes[I], *this->Votes[*Best]) ||
+                (*this->Votes[I] == *this->Votes[*Best] && this->Avoid[*Best] && !this->Avoid[I]);
+    if (Wins)
+      Best = I;
+  }
+  assert(Best);
+  this->Chosen = *Best;
+  this->At = Phase::Promoting;
+}
+
+void Attempt::onPromote(const Status &Row) {
+  if (this->At != Phase::Promoting)
+    return;
+  bool Done =
+      Row.Is == Role::Primary && Row.Accepted == this->InTerm && Row.Proposer == this->Proposer;
+  this->At = Done ? Phase::Promoted : Phase::Abandoned;
+}
+
+void Attempt::onTerm(Term Seen) {
+  if (Seen > this->InTerm && this->At != Phase::Promoted)
+    this->abandon();
+}
+
+void Attempt::abandon() { this->At = Phase::Abandoned; }
+
+} // namespace toucan::group
--- /dev/null
+++ b/src/group/change.cpp
@@ -0,0 +1,276 @@
+// Change of primary: when to start one, and its steps.
+#include "group/monitor.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace toucan::group {
+
+namespace {
+
+constexpr absl::Duration AcceptTimeout = absl::Milliseconds(300); // of one call
+constexpr absl::Duration AcceptLimit = absl::Seconds(1);          // of the accept phase
+constexpr absl::Duration PromoteTimeout = absl::Seconds(3); // the server applies its log first
+constexpr absl::Duration FollowTimeout = absl::Seconds(1);
+constexpr absl::Duration FollowInterval = absl::Milliseconds(300);
+constexpr absl::Duration BackoffBase = absl::Milliseconds(200); // doubles with each failure
+constexpr int BackoffDoublings = 4;
+constexpr absl::Duration ObserverBudget = absl::Milliseconds(400);
+constexpr absl::Duration ObserverPause = absl::Seconds(1); // after an observer reached the primary
+constexpr size_t ObserversAsked = 2;
+constexpr absl::Duration TermAheadDelay = absl::Seconds(2); // before a fenced minority is taken in
+constexpr absl::Duration CaughtUpAge = absl::Seconds(1);    // largest lag when a primary leaves
+constexpr absl::Duration LeavingPause = absl::Seconds(2);   // between changes for leaving targets
+
+constexpr std::string_view CauseRefused = "refused";
+constexpr std::string_view CauseUnreachable = "unreachable";
+constexpr std::string_view CauseNoPrimary = "no_primary";
+constexpr std::string_view CauseLeaving = "leaving";
+constexpr std::string_view CauseTermAhead = "term_ahead";
+
+} // namespace
+
+void Monitor::step(Step What, Term InTerm, const TargetId &Server, std::string_view Cause,
+                   absl::Duration Elapsed) {
+  this->Out.push_back(StepAction{
+      .What = What, .InTerm = InTerm, .Server = Server, .Cause = Cause, .Elapsed = Elapsed});
+}
+
+// Decides whether a change of primary is due.
+void Monitor::considerChange(Instant Now) {
+  if (!this->Config.Owner || this->Change || this->Servers.empty())
+    return;
+  std::optional<size_t> P = this->primary();
+  if (P && !this->suspect(this->Servers[*P])) {
+    this->Question.reset();
+    if (Now >= this->NextAttemptAt)
+      this->considerHealthy(*P, Now);
+    return;
+  }
+  if (Now < this->NextAttemptAt || !this->reachableMajority())
+    return;
+  if (P)
+    this->confirmSuspicion(*P, this->Servers[*P].Row->Accepted, Now);
+  else
+    this->considerMissing(Now);
+}
+
+// The primary answers: it is replaced only when it leaves, or when a minority has accepted a
+// later term and would otherwise stay out of the group.
+void Monitor::considerHealthy(size_t Primary, Instant Now) {
+  const Server &P = this->Servers[Primary];
+  bool Ahead = std::any_of(this->Servers.begin(), this->Servers.end(), [&](const Server &S) {
+    return this->reachable(S) && S.Row->Accepted > P.Row->Accepted;
+  });
+  if (Ahead && Now >= this->TermSeenAt + TermAheadDelay) {
+    this->startAttempt(CauseTermAhead, std::vector<bool>(this->Servers.size(), true), Now);
+    return;
+  }
+  if (!P.Def.Leaving || Ahead)
+    return;
+  std::vector<bool> Staying(this->Servers.size());
+  for (size_t I = 0; I < this->Servers.size(); ++I) {
+    const Server &S = this->Servers[I];
+    Staying[I] = !S.Def.Leaving && this->reachable(S) && this->follows(S, Primary) &&
+                 Now - S.CurrentAt <= CaughtUpAge;
+  }
+  size_t Count = std::count(Staying.begin(), Staying.end(), true);
+  if (Count < majorityOf(this->Servers.size()))
+    return;
+  // The old primary is not asked: its term ends when a majority of the others accepts the new one.
+  this->startAttempt(CauseLeaving, std::move(Staying), Now);
+}
+
+// No primary is known. A primary that replicas still follow may only be out of reach.
+void Monitor::considerMissing(Instant Now) {
+  bool AllKnown = std::all_of(this->Servers.begin(), this->Servers.end(),
+                              [this](const Server &S) { return S.Row || this->suspect(S); });
+  if (!AllKnown)
+    return;
+  Term Highest = this->highestTerm();
+  for (const Server &S : this->Servers) {
+    if (!this->reachable(S) || S.Row->Is != Role::Replica || S.Row->Accepted != Highest)
+      continue;
+    for (size_t I = 0; I < this->Servers.size(); ++I) {
+      const Server &Followed = this->Servers[I];
+      if (S.Row->Following == addressOf(Followed.Def.Host, Followed.Def.Port) &&
+          this->suspect(Followed)) {
+        this->confirmSuspicion(I, Highest, Now);
+        return;
+      }
+    }
+  }
+  // Another proposer may be about to promote: it gets time before its term is overtaken.
+  if (Highest == Term() || Now >= this->TakeoverAt)
+    this->startAttempt(CauseNoPrimary, std::vector<bool>(this->Servers.size(), true), Now);
+}
+
+// Asks second observers once, then goes on when all said no or the budget has passed.
+void Monitor::confirmSuspicion(size_t Target, Term InTerm, Instant Now) {
+  const Server &S = this->Servers[Target];
+  std::string_view Cause = S.Refused ? CauseRefused : CauseUnreachable;
+  if (this->Question && (this->Question->Target != Target || this->Question->InTerm != InTerm))
+    this->Question.reset();
+  if (!this->Question) {
+    this->step(Step::Suspected, InTerm, S.Def.Id, Cause, absl::ZeroDuration());
+    std::vector<InstanceId> Peers = this->Config.Peers;
+    std::shuffle(Peers.begin(), Peers.end(), this->Random);
+    Peers.resize(std::min(Peers.size(), ObserversAsked));
+    this->Question = Asking{.Target = Target,
+                            .InTerm = InTerm,
+                            .Cause = Cause,
+                            .Pending = {},
+                            .Deadline = Now + ObserverBudget};
+    for (const InstanceId &Peer : Peers) {
+      uint64_t Id = this->NextId++;
+      this->Question->Pending.push_back(Id);
+      this->Out.push_back(
+          AskPeerAction{.Peer = Peer, .ProbeId = Id, .Target = S.Def.Id, .Budget = ObserverBudget});
+    }
+  }
+  if (!this->Question->Pending.empty() && Now < this->Question->Deadline)
+    return;
+  this->Question.reset();
+  this->startAttempt(Cause, std::vector<bool>(this->Servers.size(), true), Now);
+}
+
+Actions Monitor::onPeerProbe(uint64_t ProbeId, bool Reachable, Term Accepted, Instant Now) {
+  if (!this->Question || std::erase(this->Question->Pending, ProbeId) == 0)
+    return this->advance(Now);
+  if (Reachable && Accepted == this->Question->InTerm) {
+    this->step(Step::Kept, this->Question->InTerm, this->Servers[this->Question->Target].Def.Id,
+               this->Question->Cause, absl::ZeroDuration());
+    this->Question.reset();
+    this->NextAttemptAt = Now + this->jittered(ObserverPause);
+  }
+  return this->advance(Now);
+}
+
+void Monitor::startAttempt(std::string_view Cause, std::vector<bool> Asked, Instant Now) {
+  Term T(std::max(this->TermSeen, this->LastAttempted).Value + 1);
+  this->LastAttempted = T;
+  std::vector<bool> Avoid;
+  for (Server &S : this->Servers) {
+    Avoid.push_back(S.Def.Leaving);
+    S.lane(Lane::Control).NextAt = Now;
+  }
+  this->Change = Running{.Try = Attempt(T, this->Options.Proposer, std::move(Avoid)),
+                         .Asked = std::move(Asked),
+                         .Cause = Cause,
+                         .Started = Now,
+                         .Deadline = Now + AcceptLimit};
+  this->step(Step::Started, T, TargetId(), Cause, absl::ZeroDuration());
+}
+
+// Sends the calls of the present phase and moves on.
+void Monitor::driveAttempt(Instant Now) {
+  if (!this->Change)
+    return;
+  Attempt &Try = this->Change->Try;
+  if (Try.phase() == Attempt::Phase::Accepting) {
+    Try.onTerm(this->TermSeen);
+    if (Now >= this->Change->Deadline)
+      Try.abandon();
+  }
+  // Whether a server that stopped answering was promoted shows when it answers again.
+  if (Try.phase() == Attempt::Phase::Promoting && this->suspect(this->Servers[Try.chosen()]))
+    Try.abandon();
+  switch (Try.phase()) {
+  case Attempt::Phase::Accepting:
+    for (size_t I = 0; I < this->Servers.size(); ++I) {
+      const Outstanding &L = this->Servers[I].lane(Lane::Control);
+      if (this->Change->Asked[I] && !Try.answered(I) && L.Id == 0 && Now >= L.NextAt)
+        this->call(I, Lane::Control,
+                   {.Kind = CallKind::Accept,
+                    .InTerm = Try.term(),
+                    .Proposer = Try.proposer(),
+                    .Timeout = AcceptTimeout},
+                   Now);
+    }
+    return;
+  case Attempt::Phase::Promoting:
+    if (this->Change->PromoteSent || this->Servers[Try.chosen()].lane(Lane::Control).Id != 0)
+      return;
+    this->Change->PromoteSent = true;
+    this->step(Step::Fenced, Try.term(), this->Servers[Try.chosen()].Def.Id, this->Change->Cause,
+               Now - this->Change->Started);
+    this->call(Try.chosen(), Lane::Control,
+               {.Kind = CallKind::Promote,
+                .InTerm = Try.term(),
+                .Proposer = Try.proposer(),
+                .Timeout = PromoteTimeout},
+               Now);
+    return;
+  case Attempt::Phase::Promoted:
+    this->onPromoted(Now);
+    return;
+  case Attempt::Phase::Abandoned:
+    this->abandonAttempt(Now);
+    return;
+  }
+}
+
+void Monitor::onPromoted(Instant Now) {
+  const Running &R = *this->Change;
+  const TargetId &Id = this->Servers[R.Try.chosen()].Def.Id;
+  this->step(Step::Promoted, R.Try.term(), Id, R.Cause, Now - R.Started);
+  this->Finishing =
+      Settling{.InTerm = R.Try.term(), .Primary = Id, .Cause = R.Cause, .Started = R.Started};
+  this->Failures = 0;
+  this->NextAttemptAt = R.Cause == CauseLeaving ? Now + LeavingPause : Now;
+  for (Server &S : this->Servers)
+    S.lane(Lane::Control).NextAt = Now;
+  this->Change.reset();
+}
+
+// The attempt leaves nothing behind: what happens next follows from what the servers say.
+void Monitor::abandonAttempt(Instant Now) {
+  this->step(Step::Abandoned, this->Change->Try.term(), TargetId(), this->Change->Cause,
+             Now - this->Change->Started);
+  this->Change.reset();
+  int Doublings = std::min(this->Failures++, BackoffDoublings);
+  this->NextAttemptAt = Now + this->jittered(BackoffBase * (1 << Doublings));
+}
+
+// Tells each server that does not follow the primary to do so: losers of a change, a returning
+// old primary, a server that follows another one.
+void Monitor::repair(Instant Now) {
+  std::optional<size_t> P = this->primary();
+  if (!this->Config.Owner || this->Change || !P)
+    return;
+  const Server &Primary = this->Servers[*P];
+  Term T = Primary.Row->Accepted;
+  size_t InTerm = 1;
+  for (size_t I = 0; I < this->Servers.size(); ++I) {
+    Server &S = this->Servers[I];
+    if (I == *P)
+      continue;
+    if (this->follows(S, *P)) {
+      ++InTerm;
+      continue;
+    }
+    Outstanding &L = S.lane(Lane::Control);
+    if (!this->reachable(S) || this->suspect(Primary) || S.Row->Accepted > T || L.Id != 0 ||
+        Now < L.NextAt)
+      continue;
+    L.NextAt = Now + FollowInterval;
+    this->call(I, Lane::Control,
+               {.Kind = CallKind::Follow,
+                .InTerm = T,
+                .Host = Primary.Def.Host,
+                .Port = Primary.Def.Port,
+                .Timeout = FollowTimeout},
+               Now);
+  }
+  if (!this->Finishing)
+    return;
+  if (this->Finishing->InTerm != T) {
+    this->Finishing.reset();
+  } else if (InTerm >= majorityOf(this->Servers.size())) {
+    this->step(Step::Finished, T, this->Finishing->Primary, this->Finishing->Cause,
+               Now - this->Finishing->Started);
+    this->Finishing.reset();
+  }
+}
+
+} // namespace toucan::group
--- /dev/null
+++ b/src/group/channel.cpp
@@ -0,0 +1,202 @@
+#include "group/channel.h"
+
+#include <sys/epoll.h>
+
+#include <array>
+#include <cassert>
+#include <cerrno>
+#include <cstdlib>
+#include <cstring>
+#include <string_view>
+#include <utility>
+
+namespace toucan::group {
+
+namespace {
+
+constexpr const char *TcpUserTimeoutMs = "3000"; // unacknowledged data on a silent connection
+
+std::string column(const PGresult *Result, const char *Name) {
+  int Index = PQfnumber(Result, Name);
+  return Index < 0 ? "" : PQgetvalue(Result, 0, Index);
+}
+
+uint64_t number(const PGresult *Result, const char *Name) {
+  return std::strtoull(column(Result, Name).c_str(), nullptr, 10);
+}
+
+// Empty when the result is not a row of a control call.
+std::optional<Status> readRow(const PGresult *Result) {
+  if (PQresultStatus(Result) != PGRES_TUPLES_OK || PQntuples(Result) != 1 ||
+      PQfnumber(Result, "accepted_term") < 0 || PQfnumber(Result, "received") < 0)
+    return std::nullopt;
+  return Status{.Server = column(Result, "server"),
+                .Accepted = Term(number(Result, "accepted_term")),
+                .Proposer = column(Result, "proposer"),
+                .Is = parseRole(column(Result, "role")),
+                .LogTerm = Term(number(Result, "log_term")),
+                .Received = number(Result, "received"),
+                .Applied = number(Result, "applied"),
+                .CallAccepted = column(Result, "accepted") == "t",
+                .Following = column(Result, "following")};
+}
+
+} // namespace
+
+Channel::Channel(Loop &InLoop, ChannelOptions Options, std::function<void()> OnLost)
+    : InLoop(InLoop), Options(std::move(Options)), OnLost(std::move(OnLost)) {}
+
+Channel::~Channel() {
+  if (this->Timer)
+    this->InLoop.cancel(*this->Timer);
+  this->close();
+}
+
+void Channel::start(const Call &What, Callback Then) {
+  assert(!this->busy());
+  this->Then = std::move(Then);
+  this->Statement = callSql(What);
+  this->Row.reset();
+  this->Timer = this->InLoop.at(this->InLoop.now() + What.Timeout, [this] {
+    this->Timer.reset();
+    this->fail(CallFailure::Timeout);
+  });
+  if (this->Connected)
+    this->send();
+  else
+    this->connect();
+}
+
+void Channel::connect() {
+  std::string Port = std::to_string(this->Options.Port);
+  std::array<const char *, 9> Keys = {
+      "hostaddr",         "port",       "dbname",           "user", "password",
+      "application_name", "gssencmode", "tcp_user_timeout", nullptr};
+  std::array<const char *, 9> Values = {this->Options.Host.c_str(),
+                                        Port.c_str(),
+                                        this->Options.Database.c_str(),
+                                        this->Options.User.c_str(),
+                                        this->Options.Password.c_str(),
+                                        "toucanrun-control",
+                                        "disable",
+                                        TcpUserTimeoutMs,
+                                        nullptr};
+  this->close();
+  this->Connection = PQconnectStartParams(Keys.data(), Values.data(), 0);
+  if (!this->Connection || PQstatus(this->Connection) == CONNECTION_BAD) {
+    // Left to the next round: the callback must not run inside start().
+    this->InLoop.cancel(*this->Timer);
+    this->Timer = this->InLoop.at(this->InLoop.now(), [this] {
+      this->Timer.reset();
+      this->fail(CallFailure::Lost);
+    });
+    return;
+  }
+  this->watchSocket(EPOLLOUT);
+}
+
+void Channel::onReady(uint32_t) {
+  if (!this->Connected)
+    this->pollConnect();
+  else if (this->busy())
+    this->receive();
+  else
+    this->onIdleReadable();
+}
+
+// libpq may close its socket and open another one inside PQconnectPoll.
+void Channel::pollConnect() {
+  this->unwatchSocket();
+  switch (PQconnectPoll(this->Connection)) {
+  case PGRES_POLLING_READING:
+    this->watchSocket(EPOLLIN);
+    return;
+  case PGRES_POLLING_WRITING:
+    this->watchSocket(EPOLLOUT);
+    return;
+  case PGRES_POLLING_OK:
+    this->Connected = true;
+    PQsetnonblocking(this->Connection, 1);
+    this->watchSocket(EPOLLIN);
+    this->send();
+    return;
+  default: {
+    // libpq reports the cause only as text; it uses strerror for errors of connect().
+    std::string_view Text = PQerrorMessage(this->Connection);
+    bool Refused = Text.find(std::strerror(ECONNREFUSED)) != std::string_view::npos;
+    this->fail(Refused ? CallFailure::Refused : CallFailure::Lost);
+    return;
+  }
+  }
+}
+
+// A failed send shows as the end of the connection when it is read.
+void Channel::send() {
+  PQsendQuery(this->Connection, this->Statement.c_str());
+  bool Unsent = PQflush(this->Connection) == 1;
+  this->InLoop.rewatch(this->WatchedFd, EPOLLIN | (Unsent ? EPOLLOUT : 0U));
+}
+
+void Channel::receive() {
+  if (PQconsumeInput(this->Connection) == 0) {
+    this->fail(CallFailure::Lost);
+    return;
+  }
+  if (PQflush(this->Connection) == 0)
+    this->InLoop.rewatch(this->WatchedFd, EPOLLIN);
+  while (PQisBusy(this->Connection) == 0) {
+    PGresult *Result = PQgetResult(this->Connection);
+    if (!Result) {
+      if (this->Row)
+        this->finish({.Row = std::move(this->Row), .Failure = CallFailure::None});
+      else
+        this->fail(CallFailure::Lost);
+      return;
+    }
+    if (!this->Row)
+      this->Row = readRow(Result);
+    PQclear(Result);
+  }
+}
+
+void Channel::onIdleReadable() {
+  if (PQconsumeInput(this->Connection) == 1 && PQstatus(this->Connection) == CONNECTION_OK)
+    return;
+  this->close();
+  if (this->OnLost)
+    this->OnLost();
+}
+
+void Channel::finish(const Answer &Got) {
+  if (this->Timer)
+    this->InLoop.cancel(*this->Timer);
+  this->Timer.reset();
+  Callback Call = std::exchange(this->Then, {});
+  Call(Got);
+}
+
+void Channel::fail(CallFailure Failure) {
+  this->close();
+  this->finish({.Row = std::nullopt, .Failure = Failure});
+}
+
+void Channel::close() {
+  this->unwatchSocket();
+  if (this->Connection)
+    PQfinish(this->Connection);
+  this->Connection = nullptr;
+  this->Connected = false;
+}
+
+void Channel::watchSocket(uint32_t Events) {
+  this->WatchedFd = PQsocket(this->Connection);
+  this->InLoop.watch(this->WatchedFd, Events, [this](uint32_t Ready) { this->onReady(Ready); });
+}
+
+void Channel::unwatchSocket() {
+  if (this->WatchedFd >= 0)
+    this->InLoop.unwatch(this->WatchedFd);
+  this->WatchedFd = -1;
+}
+
+} // namespace toucan::group
--- /dev/null
+++ b/src/group/channel.h
@@ -0,0 +1,68 @@
+// A control connection to one server: one call at a time, by libpq, without blocking.
+#ifndef TOUCAN_GROUP_CHANNEL_H
+#define TOUCAN_GROUP_CHANNEL_H
+
+#include "base/loop.h"
+#include "group/status.h"
+
+#include <libpq-fe.h>
+
+#include <functional>
+#include <optional>
+#include <string>
+
+namespace toucan::group {
+
+struct ChannelOptions {
+  std::string Host; // IP number
+  uint16_t Port = 0;
+  std::string Database;
+  std::string User;
+  std::string Password;
+};
+
+// Opens its connection with the first call and again after each failure. A call that is not
+// answered in time closes the connection: it may be silent for good.
+class Channel {
+public:
+  using Callback = std::function<void(const Answer &)>;
+
+  // OnLost, if set, is called when the connection ends while no call is running.
+  Channel(Loop &InLoop, ChannelOptions Options, std::function<void()> OnLost = {});
+  ~Channel();
+  Channel(const Channel &) = delete;
+  Channel &operator=(const Channel &) = delete;
+
+  // Only while idle. Then is called once, after this function has returned; it may destroy the
+  // channel.
+  void start(const Call &What, Callback Then);
+  bool busy() const { return static_cast<bool>(this->Then); }
+
+private:
+  void connect();
+  void onReady(uint32_t Events);
+  void pollConnect();
+  void send();
+  void receive();
+  void onIdleReadable();
+  void finish(const Answer &Got);
+  void fail(CallFailure Failure);
+  void close();
+  void watchSocket(uint32_t Events);
+  void unwatchSocket();
+
+  Loop &InLoop;
+  ChannelOptions Options;
+  std::function<void()> OnLost;
+  PGconn *Connection = nullptr;
+  bool Connected = false;
+  int WatchedFd = -1;
+  std::string Statement;
+  Callback Then;
+  std::optional<Status> Row;
+  std::optional<TimerId> Timer; // end of the running call
+};
+
+} // namespace toucan::group
+
+#endif // TOUCAN_GROUP_CHANNEL_H
--- /dev/null
+++ b/src/group/confirm.cpp
@@ -0,0 +1,132 @@
+#include "group/confirm.h"
+
+#include <algorithm>
+
+namespace toucan::group {
+
+void Confirmer::add(uint64_t Ticket, LogPosition At, Instant Deadline) {
+  this->Waiting.emplace(At, Write{.Ticket = Ticket, .Deadline = Deadline});
+}
+
+void Confirmer::onRow(size_t Server, const Status &Row) {
+  Known &K = this->Servers[Server];
+  K.Accepted = std::max(K.Accepted, Row.Accepted);
+  // `received` of a replica counts only entries shared with the primary of its accepted term.
+  if (Row.Is == Role::Replica)
+    K.Held = std::max(K.Held, LogPosition{.InTerm = Row.Accepted, .Position = Row.Received});
+}
+
+// The primary counts as one holder: it reported the position itself.
+bool Confirmer::holds(LogPosition At) const {
+  size_t Holders = 1;
+  for (const Known &K : this->Servers)
+    Holders += K.Held.InTerm == At.InTerm && K.Held.Position >= At.Position ? 1 : 0;
+  return Holders >= this->Quorum(this->Servers.size());
+}
+
+bool Confirmer::termOver(Term T) const {
+  size_t Higher = 0;
+  for (const Known &K : this->Servers)
+    Higher += K.Accepted > T ? 1 : 0;
+  return Higher >= this->Quorum(this->Servers.size());
+}
+
+std::vector<Confirmer::Ended> Confirmer::takeEnded(Instant Now) {
+  std::vector<Ended> Out;
+  for (auto It = this->Waiting.begin(); It != this->Waiting.end();) {
+    std::optional<ConfirmResult> Result;
+    if (this->holds(It->first))
+      Result = ConfirmResult::Confirmed;
+    else if (this->termOver(It->first.InTerm))
+      Result = ConfirmResult::TermChanged;
+    else if (It->second.Deadline <= Now)
+      Result = ConfirmResult::Deadline;
+    if (Result)
+      Out.push_back({.Ticket = It->second.Ticket, .Result = *Result});
+    It = Result ? this->Waiting.erase(It) : std::next(It);
+  }
+  return Out;
+}
+
+std::optional<LogPosition> Confirmer::wanted(size_t Server) const {
+  const Known &K = this->Servers[Server];
+  // A server that has accepted a later term cannot confirm a position of an earlier one.
+  for (auto It = this->Waiting.upper_bound(K.Held); It != this->Waiting.end(); ++It)
+    if (It->first.InTerm >= K.Accepted)
+      return It->first;
+  return std::nullopt;
+}
+
+Instant Confirmer::nextDeadline() const {
+  Instant Next = absl::InfiniteFuture();
+  for (const auto &[At, W] : this->Waiting)
+    Next = std::min(Next, W.Deadline);
+  return Next;
+}
+
+void Verifier::add(uint64_t Ticket, Instant Deadline) {
+  if (this->Batches.empty() || this->Batches.back().After != this->LastProbe) {
+    this->Batches.push_back({.After = this->LastProbe, .Tickets = {}, .Rows = {}});
+    this->Batches.back().Rows.resize(this->Servers);
+  }
+  this->Batches.back().Tickets.emplace_back(Ticket, Deadline);
+}
+
+uint64_t Verifier::beginProbe() { return ++this->LastProbe; }
+
+void Verifier::onRow(size_t Server, uint64_t Probe, const Status &Row) {
+  for (Batch &B : this->Batches)
+    if (Probe > B.After)
+      B.Rows[Server] = Row;
+}
+
+// The primary's last entry must be of its own term: before its term-start entry, its log may
+// lack entries that it has not applied yet.
+std::optional<LogPosition> Verifier::decided(const Batch &B) const {
+  for (const std::optional<Status> &Row : B.Rows) {
+    if (!Row || Row->Is != Role::Primary || Row->LogTerm != Row->Accepted)
+      continue;
+    size_t Same = std::count_if(B.Rows.begin(), B.Rows.end(), [&](const auto &Other) {
+      return Other && Other->Accepted == Row->Accepted;
+    });
+    if (Same >= majorityOf(this->Servers))
+      return LogPosition{.InTerm = Row->Accepted, .Position = Row->Received};
+  }
+  return std::nullopt;
+}
+
+std::vector<Verifier::Ended> Verifier::takeEnded(Instant Now) {
+  std::vector<Ended> Out;
+  for (Batch &B : this->Batches) {
+    std::optional<LogPosition> At = this->decided(B);
+    std::erase_if(B.Tickets, [&](const std::pair<uint64_t, Instant> &T) {
+      bool Ends = At || T.second <= Now;
+      if (Ends)
+        Out.push_back({.Ticket = T.first, .At = At});
+      return Ends;
+    });
+  }
+  std::erase_if(this->Batches, [](const Batch &B) { return B.Tickets.empty(); });
+  return Out;
+}
+
+void Verifier::resize(size_t Count) {
+  this->Servers = Count;
+  for (Batch &B : this->Batches)
+    B.Rows.assign(Count, std::nullopt);
+}
+
+bool Verifier::wants(size_t Server) const {
+  return std::any_of(this->Batches.begin(), this->Batches.end(),
+                     [&](const Batch &B) { return !B.Rows[Server]; });
+}
+
+Instant Verifier::nextDeadline() const {
+  Instant Next = absl::InfiniteFuture();
+  for (const Batch &B : this->Batches)
+    for (const auto &[Ticket, Deadline] : B.Tickets)
+      Next = std::min(Next, Deadline);
+  return Next;
+}
+
+} // namespace toucan::group
--- /dev/null
+++ b/src/group/monitor.cpp
@@ -0,0 +1,342 @@
+#include "group/monitor.h"
+
+#include <algorithm>
+#include <cassert>
+#include <utility>
+
+namespace toucan::group {
+
+namespace {
+
+constexpr absl::Duration WaitLimit = absl::Seconds(1);        // of one group_wait in the server
+constexpr absl::Duration WaitGrace = absl::Milliseconds(500); // for its answer on the way back
+constexpr absl::Duration RetryDelay = absl::Milliseconds(50); // after a failed call
+
+bool sameServers(const std::vector<MonitoredServer> &A, const std::vector<MonitoredServer> &B) {
+  return std::equal(A.begin(), A.end(), B.begin(), B.end(), [](const auto &X, const auto &Y) {
+    return X.Id == Y.Id && X.Host == Y.Host && X.Port == Y.Port;
+  });
+}
+
+bool sameState(const GroupState &A, const GroupState &B) {
+  auto Same = [](const ServerState &X, const ServerState &Y) {
+    return X.Id == Y.Id && X.Reachable == Y.Reachable && X.Is == Y.Is && X.Accepted == Y.Accepted &&
+           X.Received == Y.Received && X.Applied == Y.Applied && X.AsOf == Y.AsOf &&
+           X.CurrentAt == Y.CurrentAt;
+  };
+  return A.Current == B.Current && A.Primary == B.Primary &&
+         std::equal(A.Servers.begin(), A.Servers.end(), B.Servers.begin(), B.Servers.end(), Same);
+}
+
+} // namespace
+
+Monitor::Monitor(MonitorOptions Options)
+    : Options(std::move(Options)), Random(this->Options.Seed) {}
+
+// A change of the set of servers ends a running attempt: its majority is no longer valid.
+Actions Monitor::configure(MonitorConfig NewConfig, Instant Now) {
+  this->Published.Database = NewConfig.Database;
+  bool Same = sameServers(this->Config.Servers, NewConfig.Servers);
+  this->Config = std::move(NewConfig);
+  if (this->Change && (!Same || (!this->Config.Owner && !this->Change->PromoteSent)))
+    this->abandonAttempt(Now);
+  if (!this->Config.Owner)
+    this->Question.reset();
+  if (Same) {
+    for (size_t I = 0; I < this->Servers.size(); ++I)
+      this->Servers[I].Def = this->Config.Servers[I];
+    return this->advance(Now);
+  }
+  this->Question.reset();
+  std::vector<Server> Old = std::exchange(this->Servers, {});
+  for (const MonitoredServer &Def : this->Config.Servers) {
+    auto It = std::find_if(Old.begin(), Old.end(), [&](const Server &S) {
+      return S.Def.Id == Def.Id && S.Def.Host == Def.Host && S.Def.Port == Def.Port;
+    });
+    this->Servers.push_back(It == Old.end() ? Server{} : std::move(*It));
+    this->Servers.back().Def = Def;
+  }
+  this->Writes.resize(this->Servers.size());
+  this->Reads.resize(this->Servers.size());
+  for (size_t I = 0; I < this->Servers.size(); ++I)
+    if (this->Servers[I].Row)
+      this->Writes.onRow(I, *this->Servers[I].Row);
+  return this->advance(Now);
+}
+
+Actions Monitor::onAnswer(const TargetId &Id, Lane On, uint64_t CallId, const Answer &Got,
+                          Instant Now) {
+  Server *S = this->find(Id);
+  if (!S || S->lane(On).Id != CallId)
+    return this->advance(Now);
+  Outstanding Asked = S->lane(On);
+  S->lane(On).Id = 0;
+  size_t Index = S - this->Servers.data();
+  if (Got.Row)
+    this->onRow(Index, On, Asked, *Got.Row, Now);
+  else
+    this->onFailure(Index, On, Asked, Got.Failure, Now);
+  return this->advance(Now);
+}
+
+Actions Monitor::onConnectionLost(const TargetId &Id, Instant Now) {
+  if (Server *S = this->find(Id))
+    S->lane(Lane::Probe).NextAt = std::min(S->lane(Lane::Probe).NextAt, Now);
+  return this->advance(Now);
+}
+
+Actions Monitor::confirm(uint64_t Ticket, LogPosition At, Instant Deadline, Instant Now) {
+  this->Writes.add(Ticket, At, Deadline);
+  return this->advance(Now);
+}
+
+Actions Monitor::verify(uint64_t Ticket, Instant Deadline, Instant Now) {
+  this->Reads.add(Ticket, Deadline);
+  return this->advance(Now);
+}
+
+Actions Monitor::onTimer(Instant Now) { return this->advance(Now); }
+
+Monitor::Server *Monitor::find(const TargetId &Id) {
+  auto It = std::find_if(this->Servers.begin(), this->Servers.end(),
+                         [&](const Server &S) { return S.Def.Id == Id; });
+  return It == this->Servers.end() ? nullptr : &*It;
+}
+
+bool Monitor::suspect(const Server &S) const {
+  return S.Refused || S.Misses >= this->Options.ProbesToSuspect;
+}
+
+bool Monitor::reachableMajority() const {
+  size_t Count = std::count_if(this->Servers.begin(), this->Servers.end(),
+                               [this](const Server &S) { return this->reachable(S); });
+  return Count >= majorityOf(this->Servers.size());
+}
+
+Term Monitor::highestTerm() const {
+  Term Highest;
+  for (const Server &S : this->Servers)
+    if (S.Row)
+      Highest = std::max(Highest, S.Row->Accepted);
+  return Highest;
+}
+
+std::optional<size_t> Monitor::primary() const {
+  std::optional<size_t> Best;
+  for (size_t I = 0; I < this->Servers.size(); ++I) {
+    const std::optional<Status> &Row = this->Servers[I].Row;
+    if (Row && Row->Is == Role::Primary &&
+        (!Best || Row->Accepted > this->Servers[*Best].Row->Accepted))
+      Best = I;
+  }
+  if (!Best)
+    return std::nullopt;
+  Term T = this->Servers[*Best].Row->Accepted;
+  size_t Left = std::count_if(this->Servers.begin(), this->Servers.end(),
+                              [&](const Server &S) { return S.Row && S.Row->Accepted > T; });
+  return Left < majorityOf(this->Servers.size()) ? Best : std::nullopt;
+}
+
+bool Monitor::follows(const Server &S, size_t Primary) const {
+  const Server &P = this->Servers[Primary];
+  return S.Row && S.Row->Is == Role::Replica && S.Row->Accepted == P.Row->Accepted &&
+         S.Row->Following == addressOf(P.Def.Host, P.Def.Port);
+}
+
+// Uniform between Base and twice Base.
+absl::Duration Monitor::jittered(absl::Duration Base) {
+  std::uniform_real_distribution<double> Spread(1.0, 2.0);
+  return Base * Spread(this->Random);
+}
+
+Actions Monitor::advance(Instant Now) {
+  this->LastNow = Now;
+  Term Highest = this->highestTerm();
+  if (Highest > this->TermSeen) {
+    this->TermSeen = Highest;
+    this->TermSeenAt = Now;
+    this->TakeoverAt = Now + this->jittered(this->Options.ProbeInterval);
+  }
+  this->considerChange(Now);
+  this->driveAttempt(Now);
+  this->repair(Now);
+  this->startProbes(Now);
+  this->startWaits(Now);
+  this->endTickets(Now);
+  this->updateFreshness();
+  this->publish();
+  return std::exchange(this->Out, {});
+}
+
+void Monitor::call(size_t Index, Lane On, Call What, Instant Now) {
+  Server &S = this->Servers[Index];
+  Outstanding &L = S.lane(On);
+  assert(L.Id == 0);
+  L.Id = this->NextId++;
+  L.Kind = What.Kind;
+  L.InTerm = What.InTerm;
+  L.AskedAt = Now;
+  L.Probe = On == Lane::Probe ? this->Reads.beginProbe() : 0;
+  this->Out.push_back(
+      CallAction{.Server = S.Def.Id, .On = On, .Id = L.Id, .What = std::move(What)});
+}
+
+void Monitor::onRow(size_t Index, Lane On, const Outstanding &Asked, const Status &Row,
+                    Instant Now) {
+  Server &S = this->Servers[Index];
+  S.Misses = 0;
+  S.Refused = false;
+  this->Writes.onRow(Index, Row);
+  if (On == Lane::Probe) {
+    this->Reads.onRow(Index, Asked.Probe, Row);
+    S.lane(On).NextAt = Asked.AskedAt + this->Options.ProbeInterval;
+  }
+  // A probe that was begun before the last control call ended may describe the time before it.
+  if (On == Lane::Control || Asked.AskedAt >= S.ControlAt) {
+    S.Row = Row;
+    S.RowAt = std::max(S.RowAt, Asked.AskedAt);
+  }
+  if (On != Lane::Control)
+    return;
+  S.ControlAt = Now;
+  if (!this->Change || Asked.InTerm != this->Change->Try.term())
+    return;
+  if (Asked.Kind == CallKind::Accept)
+    this->Change->Try.onAccept(Index, Row);
+  else if (Asked.Kind == CallKind::Promote)
+    this->Change->Try.onPromote(Row);
+}
+
+void Monitor::onFailure(size_t Index, Lane On, const Outstanding &Asked, CallFailure Failure,
+                        Instant Now) {
+  Server &S = this->Servers[Index];
+  S.lane(On).NextAt = Now + RetryDelay;
+  if (On == Lane::Probe) {
+    ++S.Misses;
+    S.Refused = Failure == CallFailure::Refused;
+    if (Failure != CallFailure::Lost)
+      S.lane(On).NextAt = std::max(Now + RetryDelay, Asked.AskedAt + this->Options.ProbeInterval);
+  }
+  // Whether the promotion took effect is unknown; statuses show it later.
+  if (On == Lane::Control && Asked.Kind == CallKind::Promote && this->Change &&
+      Asked.InTerm == this->Change->Try.term())
+    this->Change->Try.abandon();
+}
+
+void Monitor::startProbes(Instant Now) {
+  for (size_t I = 0; I < this->Servers.size(); ++I) {
+    const Outstanding &L = this->Servers[I].lane(Lane::Probe);
+    bool Healthy = this->Servers[I].Misses == 0;
+    bool Due = Now >= L.NextAt || (Healthy && this->Reads.wants(I));
+    if (L.Id == 0 && Due)
+      this->call(I, Lane::Probe, {.Kind = CallKind::Status, .Timeout = this->Options.ProbeTimeout},
+                 Now);
+  }
+}
+
+// One call for each server covers all waiting writes: its answer carries the position reached.
+void Monitor::startWaits(Instant Now) {
+  for (size_t I = 0; I < this->Servers.size(); ++I) {
+    const Server &S = this->Servers[I];
+    const Outstanding &L = S.lane(Lane::Wait);
+    if (L.Id != 0 || Now < L.NextAt || !S.Row || S.Row->Is == Role::Primary)
+      continue;
+    if (std::optional<LogPosition> At = this->Writes.wanted(I))
+      this->call(I, Lane::Wait,
+                 {.Kind = CallKind::Wait,
+                  .InTerm = At->InTerm,
+                  .Position = At->Position,
+                  .WaitLimit = WaitLimit,
+                  .Timeout = WaitLimit + WaitGrace},
+                 Now);
+  }
+}
+
+void Monitor::endTickets(Instant Now) {
+  for (const Confirmer::Ended &E : this->Writes.takeEnded(Now))
+    this->Out.push_back(ConfirmedAction{.Ticket = E.Ticket, .Result = E.Result});
+  for (const Verifier::Ended &E : this->Reads.takeEnded(Now))
+    this->Out.push_back(VerifiedAction{.Ticket = E.Ticket, .At = E.At});
+}
+
+// A sample counts only up to the moment at which a majority was still in the term: after that
+// another primary may have newer data.
+void Monitor::updateFreshness() {
+  std::optional<size_t> P = this->primary();
+  Term T = P ? this->Servers[*P].Row->Accepted : Term();
+  if (T != this->History.term()) {
+    this->History.reset(T);
+    for (Server &S : this->Servers)
+      S.CurrentAt = absl::InfinitePast();
+  }
+  if (!P)
+    return;
+  this->History.sample(this->Servers[*P].RowAt, this->Servers[*P].Row->Received);
+  std::vector<Instant> InTerm;
+  for (const Server &S : this->Servers)
+    if (S.Row && S.Row->Accepted == T)
+      InTerm.push_back(S.RowAt);
+  if (InTerm.size() < majorityOf(this->Servers.size()))
+    return;
+  std::sort(InTerm.rbegin(), InTerm.rend());
+  Instant Verified = InTerm[majorityOf(this->Servers.size()) - 1];
+  for (size_t I = 0; I < this->Servers.size(); ++I) {
+    Server &S = this->Servers[I];
+    if (!S.Row || S.Row->Accepted != T || (I != *P && S.Row->Is != Role::Replica))
+      continue;
+    Instant Had =
+        I == *P ? S.RowAt : this->History.currentAt(std::min(S.Row->Applied, S.Row->Received));
+    S.CurrentAt = std::max(S.CurrentAt, std::min(Had, Verified));
+  }
+}
+
+// While an attempt of this daemon runs, no server is published as primary.
+void Monitor::publish() {
+  GroupState New;
+  New.Database = this->Config.Database;
+  std::optional<size_t> P = this->primary();
+  New.Current = P ? this->Servers[*P].Row->Accepted : this->Published.Current;
+  if (P && !this->Change)
+    New.Primary = this->Servers[*P].Def.Id;
+  for (const Server &S : this->Servers) {
+    ServerState &State = New.Servers.emplace_back();
+    State.Id = S.Def.Id;
+    State.Reachable = this->reachable(S);
+    State.AsOf = S.RowAt;
+    State.CurrentAt = S.CurrentAt;
+    if (!S.Row)
+      continue;
+    State.Is = S.Row->Is;
+    State.Accepted = S.Row->Accepted;
+    State.Received = S.Row->Received;
+    State.Applied = S.Row->Applied;
+  }
+  if (sameState(New, this->Published))
+    return;
+  this->Published = std::move(New);
+  this->Out.push_back(ChangedAction{});
+}
+
+// Only moments after the last call of advance() count: it has dealt with all earlier ones.
+Instant Monitor::nextTimer() const {
+  Instant Next = absl::InfiniteFuture();
+  auto Consider = [&](Instant At) {
+    if (At > this->LastNow)
+      Next = std::min(Next, At);
+  };
+  for (const Server &S : this->Servers)
+    for (const Outstanding &L : S.Lanes)
+      if (L.Id == 0)
+        Consider(L.NextAt);
+  Consider(this->Writes.nextDeadline());
+  Consider(this->Reads.nextDeadline());
+  Consider(this->NextAttemptAt);
+  Consider(this->TakeoverAt);
+  if (this->Question)
+    Consider(this->Question->Deadline);
+  if (this->Change)
+    Consider(this->Change->Deadline);
+  return Next;
+}
+
+} // namespace toucan::group
--- /dev/null
+++ b/src/group/test_server.h
@@ -0,0 +1,114 @@
+// A server of a database group as docs/platform.md describes it, without I/O, for tests.
+#ifndef TOUCAN_GROUP_TEST_SERVER_H
+#define TOUCAN_GROUP_TEST_SERVER_H
+
+#include "group/status.h"
+
+#include <algorithm>
+#include <string>
+#include <vector>
+
+namespace toucan::group {
+
+struct TestEntry {
+  uint64_t InTerm = 0;
+  int Write = -1; // -1: term-start entry
+  friend auto operator<=>(const TestEntry &, const TestEntry &) = default;
+};
+
+struct TestServer {
+  uint64_t Accepted = 0;
+  std::string Proposer;
+  Role Is = Role::Fenced;
+  bool Promoted = false; // the proposer of the accepted term has promoted this server
+  std::vector<TestEntry> Log;
+  size_t Matched = 0; // entries known to be the same as in the log of the followed primary
+  size_t Applied = 0;
+  std::string Following;
+
+  Status row(bool CallAccepted) const {
+    Status S;
+    S.Accepted = Term(this->Accepted);
+    S.Proposer = this->Proposer;
+    S.Is = this->Is;
+    S.LogTerm = Term(this->Log.empty() ? 0 : this->Log.back().InTerm);
+    S.Received = this->Is == Role::Replica ? this->Matched : this->Log.size();
+    S.Applied = this->Applied;
+    S.CallAccepted = CallAccepted;
+    S.Following = this->Following;
+    return S;
+  }
+
+  Status accept(uint64_t T, const std::string &By) {
+    bool Ok =
+        T > this->Accepted || (T == this->Accepted && By == this->Proposer && !this->Promoted);
+    if (Ok) {
+      this->Accepted = T;
+      this->Proposer = By;
+      this->Is = Role::Fenced;
+      this->Promoted = false;
+      this->Following.clear();
+    }
+    return this->row(Ok);
+  }
+
+  Status promote(uint64_t T, const std::string &By) {
+    if (T != this->Accepted || By != this->Proposer || this->Promoted)
+      return this->row(false);
+    this->Promoted = true;
+    this->Is = Role::Primary;
+    this->Log.push_back({.InTerm = T, .Write = -1});
+    this->Applied = this->Log.size();
+    return this->row(true);
+  }
+
+  Status follow(uint64_t T, const std::string &Address) {
+    if (T < this->Accepted || (T == this->Accepted && this->Is == Role::Primary))
+      return this->row(false);
+    if (T == this->Accepted && this->Is == Role::Replica && this->Following == Address)
+      return this->row(true);
+    if (T > this->Accepted)
+      this->Proposer.clear();
+    this->Accepted = T;
+    this->Promoted = false;
+    this->Is = Role::Replica;
+    this->Following = Address;
+    this->Matched = 0;
+    return this->row(true);
+  }
+
+  // Receives the next entry of the primary's log. The first one found to differ removes the rest
+  // of the own log.
+  bool receive(const std::vector<TestEntry> &Primary) {
+    if (this->Is != Role::Replica || this->Matched >= Primary.size())
+      return false;
+    const TestEntry &Next = Primary[this->Matched];
+    if (this->Matched < this->Log.size() && this->Log[this->Matched] != Next)
+      this->Log.resize(this->Matched);
+    if (this->Matched == this->Log.size())
+      this->Log.push_back(Next);
+    ++this->Matched;
+    return true;
+  }
+
+  Status serve(const Call &What) {
+    switch (What.Kind) {
+    case CallKind::Accept:
+      return this->accept(What.InTerm.Value, What.Proposer);
+    case CallKind::Promote:
+      return this->promote(What.InTerm.Value, What.Proposer);
+    case CallKind::Follow:
+      return this->follow(What.InTerm.Value, addressOf(What.Host, What.Port));
+    case CallKind::Wait:
+      return this->row(this->Accepted == What.InTerm.Value && this->Is != Role::Fenced &&
+                       this->row(false).Received >= What.Position);
+    case CallKind::Status:
+      break;
+    }
+    return this->row(false);
+  }
+};
+
+} // namespace toucan::group
+
+#endif // TOUCAN_GROUP_TEST_SERVER_H
