Stand-in database server: SQLite behind the PostgreSQL protocol

Cause: pool, group monitor and process tests need a database group with terms, positions and replication, and may not start a third-party server.

--- /dev/null
+++ b/standin/db/database.cpp
@@ -0,0 +1,159 @@
+#include "database.h"
+
+#include "absl/strings/match.h"
+#include "absl/strings/str_format.h"
+
+#include <array>
+#include <cstdio>
+
+namespace toucan::standin {
+
+namespace {
+
+constexpr int BusyTimeoutMs = 10'000;
+constexpr int InterruptCheckSteps = 1000; // virtual machine steps between checks
+
+// The wal index of "unix-excl" is in the memory of the process, not in a shared mapping.
+constexpr const char *VfsName = "unix-excl";
+
+void sleepFunction(sqlite3_context *Context, int, sqlite3_value **Values) {
+  auto *Hooks = static_cast<SqlHooks *>(sqlite3_user_data(Context));
+  sqlite3_int64 Ms = sqlite3_value_int64(Values[0]);
+  if (Hooks != nullptr && Ms > 0 && !Hooks->sleep(std::chrono::milliseconds(Ms)))
+    sqlite3_result_error_code(Context, SQLITE_INTERRUPT);
+  else
+    sqlite3_result_int64(Context, Ms);
+}
+
+void noticeFunction(sqlite3_context *Context, int, sqlite3_value **Values) {
+  auto *Hooks = static_cast<SqlHooks *>(sqlite3_user_data(Context));
+  const auto *Text = reinterpret_cast<const char *>(sqlite3_value_text(Values[0]));
+  if (Hooks != nullptr)
+    Hooks->notice(Text != nullptr ? Text : "");
+  sqlite3_result_value(Context, Values[0]);
+}
+
+int progress(void *Argument) { return static_cast<SqlHooks *>(Argument)->interrupted() ? 1 : 0; }
+
+void addFunctions(sqlite3 *Handle, SqlHooks *Hooks) {
+  sqlite3_create_function(Handle, "sleep_ms", 1, SQLITE_UTF8, Hooks, sleepFunction, nullptr,
+                          nullptr);
+  sqlite3_create_function(Handle, "raise_notice", 1, SQLITE_UTF8, Hooks, noticeFunction, nullptr,
+                          nullptr);
+  if (Hooks != nullptr)
+    sqlite3_progress_handler(Handle, InterruptCheckSteps, progress, Hooks);
+}
+
+struct MessageState {
+  std::string_view Part;
+  std::string_view State;
+};
+
+// SQLite reports these with one code and tells them apart by text only.
+constexpr std::array MessageStates = {
+    MessageState{"no such table", "42P01"},
+    MessageState{"no such column", "42703"},
+    MessageState{"no such function", "42883"},
+    MessageState{"wrong number of arguments", "42883"},
+    MessageState{"already exists", "42P07"},
+    MessageState{"ambiguous column name", "42702"},
+    MessageState{"no such savepoint", "3B001"},
+    MessageState{"integer overflow", "22003"},
+    MessageState{"has no column named", "42703"},
+};
+
+std::string_view stateOf(int Code, std::string_view Message) {
+  switch (Code) {
+  case SQLITE_CONSTRAINT_UNIQUE:
+  case SQLITE_CONSTRAINT_PRIMARYKEY:
+  case SQLITE_CONSTRAINT_ROWID:
+    return "23505";
+  case SQLITE_CONSTRAINT_NOTNULL:
+    return "23502";
+  case SQLITE_CONSTRAINT_FOREIGNKEY:
+    return "23503";
+  case SQLITE_CONSTRAINT_CHECK:
+    return "23514";
+  default:
+    break;
+  }
+  switch (Code & 0xff) {
+  case SQLITE_CONSTRAINT:
+    return "23000";
+  case SQLITE_INTERRUPT:
+    return "57014";
+  case SQLITE_READONLY:
+    return "25006";
+  case SQLITE_BUSY:
+  case SQLITE_LOCKED:
+    return "40001";
+  case SQLITE_MISMATCH:
+    return "22P02";
+  case SQLITE_TOOBIG:
+    return "54000";
+  case SQLITE_ERROR:
+    break;
+  default:
+    return "XX000";
+  }
+  for (const MessageState &M : MessageStates)
+    if (absl::StrContains(absl::string_view(Message.data(), Message.size()),
+                          absl::string_view(M.Part.data(), M.Part.size())))
+      return M.State;
+  return "42601";
+}
+
+} // namespace
+
+Database::Database(std::string DataDir) : Dir(std::move(DataDir)) { this->rebuild(); }
+
+Database::~Database() { this->removeFiles(); }
+
+void Database::removeFiles() const {
+  for (const char *Suffix : {"", "-wal", "-journal"})
+    std::remove((this->Path + Suffix).c_str());
+}
+
+void Database::rebuild() {
+  if (!this->Path.empty())
+    this->removeFiles();
+  ++this->Generation;
+  this->Path = absl::StrFormat("%s/data-%d.sqlite", this->Dir, this->Generation);
+  this->removeFiles();
+}
+
+Result<SqliteHandle> openSqlite(const std::string &Path, SqlHooks *Hooks) {
+  sqlite3 *Raw = nullptr;
+  int Code =
+      sqlite3_open_v2(Path.c_str(), &Raw,
+                      SQLITE_OPEN_READWRITE | SQLITE_OPEN_CREATE | SQLITE_OPEN_NOMUTEX, VfsName);
+  SqliteHandle Handle(Raw);
+  if (Code != SQLITE_OK)
+    return failure(absl::StrFormat("cannot open database \"%s\": %s", Path, sqlite3_errstr(Code)));
+  sqlite3_extended_result_codes(Raw, 1);
+  sqlite3_busy_timeout(Raw, BusyTimeoutMs);
+  // The log is the durable copy, so the database itself needs no sync.
+  std::optional<SqlError> E =
+      runSql(Raw, "PRAGMA journal_mode=WAL; PRAGMA synchronous=OFF; PRAGMA foreign_keys=ON;");
+  if (E)
+    return failure(absl::StrFormat("cannot set up database \"%s\": %s", Path, E->Message));
+  addFunctions(Raw, Hooks);
+  return Handle;
+}
+
+std::optional<SqlError> runSql(sqlite3 *Handle, const std::string &Sql) {
+  if (sqlite3_exec(Handle, Sql.c_str(), nullptr, nullptr, nullptr) == SQLITE_OK)
+    return std::nullopt;
+  return sqliteError(Handle);
+}
+
+SqlError sqliteError(sqlite3 *Handle) {
+  std::string Message = sqlite3_errmsg(Handle);
+  int Code = sqlite3_extended_errcode(Handle);
+  std::string State(stateOf(Code, Message));
+  if (State == "57014")
+    Message = "canceling statement due to user request";
+  return {.State = State, .Message = Message};
+}
+
+} // namespace toucan::standin
--- /dev/null
+++ b/standin/db/group.cpp
@@ -0,0 +1,367 @@
+#include "group.h"
+
+#include "replication.h"
+
+#include "base/log.h"
+
+#include "absl/strings/str_format.h"
+
+#include <algorithm>
+#include <cstdlib>
+#include <utility>
+
+namespace toucan::standin {
+
+namespace {
+
+// Waits are cut into pieces of this length, so that an interrupted request is noticed.
+constexpr std::chrono::milliseconds WaitPiece{50};
+// A log request without new entries is answered after this time.
+constexpr std::chrono::milliseconds LogRequestWait{200};
+constexpr size_t SliceBytes = 1 << 20;
+
+SqlError fencedError(uint64_t Asked, uint64_t Accepted, Role In) {
+  return {.State = "57P01",
+          .Message = absl::StrFormat("server is not in term %d: accepted term %d, role %s", Asked,
+                                     Accepted, roleName(In)),
+          .Fatal = true};
+}
+
+} // namespace
+
+const char *roleName(Role R) {
+  switch (R) {
+  case Role::Primary:
+    return "primary";
+  case Role::Replica:
+    return "replica";
+  case Role::Fenced:
+    break;
+  }
+  return "fenced";
+}
+
+Group::Group(GroupOptions Options) : Options(std::move(Options)) {}
+
+Group::~Group() { this->stop(); }
+
+Result<void> Group::open() {
+  BOOST_LEAF_CHECK(this->Log.open(this->Options.DataDir));
+  this->Data = std::make_unique<Database>(this->Options.DataDir);
+  return this->applyAll();
+}
+
+void Group::stop() {
+  {
+    std::lock_guard Lock(this->Mutex);
+    this->Stopped = true;
+    this->Changed.notify_all();
+  }
+  std::lock_guard Control(this->ControlMutex);
+  this->Following.reset();
+}
+
+GroupStatus Group::statusLocked() const {
+  uint64_t Received = this->receivedLocked();
+  return {.Server = this->Options.Server,
+          .AcceptedTerm = this->Log.record().Term,
+          .Proposer = this->Log.record().Proposer,
+          .In = this->In,
+          .LogTerm = this->Log.termAt(Received),
+          .Received = Received,
+          .Applied = std::min(this->Applied, Received),
+          .Accepted = true,
+          .Following = this->FollowAddress};
+}
+
+GroupStatus Group::answerLocked(bool Accepted) const {
+  GroupStatus S = this->statusLocked();
+  S.Accepted = Accepted;
+  return S;
+}
+
+uint64_t Group::receivedLocked() const {
+  return this->In == Role::Replica ? this->KnownSame : this->Log.last();
+}
+
+bool Group::followsLocked(uint64_t Term) const {
+  return !this->Stopped && this->In == Role::Replica && this->Log.record().Term == Term;
+}
+
+GroupStatus Group::status() {
+  std::lock_guard Lock(this->Mutex);
+  return this->statusLocked();
+}
+
+GroupStatus Group::acceptTerm(uint64_t Term, const std::string &Proposer) {
+  std::lock_guard Control(this->ControlMutex);
+  {
+    std::lock_guard Lock(this->Mutex);
+    const TermRecord &R = this->Log.record();
+    bool Repeated = Term == R.Term && Proposer == R.Proposer && R.In == Phase::Accepted;
+    if (Term <= R.Term)
+      return this->answerLocked(Repeated && Term > 0);
+    this->Log.saveRecord({.Term = Term, .Proposer = Proposer, .In = Phase::Accepted});
+    this->In = Role::Fenced;
+    this->FollowAddress.clear();
+    this->Changed.notify_all();
+  }
+  if (this->TermChanged)
+    this->TermChanged(Term);
+  this->Following.reset();
+  return this->status();
+}
+
+GroupStatus Group::promote(uint64_t Term, const std::string &Proposer) {
+  std::lock_guard Control(this->ControlMutex);
+  {
+    std::lock_guard Lock(this->Mutex);
+    const TermRecord &R = this->Log.record();
+    // A server that has followed in this term has a primary; a second one must not come up.
+    bool Allowed = Term > 0 && R.Term == Term && R.Proposer == Proposer && R.In != Phase::Replica;
+    if (!Allowed || this->In == Role::Primary)
+      return this->answerLocked(Allowed);
+  }
+  // Log and role cannot change here: the server is fenced and ControlMutex is held.
+  if (auto Done = capture([&] { return this->applyAll(); }); !Done) {
+    LogEvent(LogLevel::Error, "apply_failed").kv("cause", Done.Problem.Message);
+    std::abort();
+  }
+  std::lock_guard Lock(this->Mutex);
+  this->Log.saveRecord({.Term = Term, .Proposer = Proposer, .In = Phase::Primary});
+  this->Log.append({.Term = Term, .Position = this->Log.last() + 1, .Sql = ""});
+  this->Applied = this->Log.last();
+  this->In = Role::Primary;
+  this->Changed.notify_all();
+  return this->statusLocked();
+}
+
+GroupStatus Group::follow(uint64_t Term, const std::string &Host, uint16_t Port) {
+  std::string Address = absl::StrFormat("%s:%d", Host, Port);
+  std::lock_guard Control(this->ControlMutex);
+  bool NewTerm = false;
+  {
+    std::lock_guard Lock(this->Mutex);
+    const TermRecord &R = this->Log.record();
+    if (Term == 0 || Term < R.Term || (Term == R.Term && R.In == Phase::Primary))
+      return this->answerLocked(false);
+    if (this->followsLocked(Term) && this->FollowAddress == Address)
+      return this->answerLocked(true);
+    NewTerm = Term > R.Term;
+  }
+  // The old replication must have ended before its entries could count for the new address.
+  this->Following.reset();
+  {
+    std::lock_guard Lock(this->Mutex);
+    std::string Proposer = NewTerm ? "" : this->Log.record().Proposer;
+    this->Log.saveRecord({.Term = Term, .Proposer = Proposer, .In = Phase::Replica});
+    this->In = Role::Replica;
+    this->KnownSame = 0;
+    this->FollowAddress = Address;
+    this->Changed.notify_all();
+  }
+  if (NewTerm && this->TermChanged)
+    this->TermChanged(Term);
+  this->Following = std::make_unique<Replication>(
+      *this, ReplicationOptions{
+                 .Term = Term, .Host = Host, .Port = Port, .ShipDelay = this->Options.ShipDelay});
+  return this->status();
+}
+
+GroupStatus Group::wait(uint64_t Term, uint64_t Position, std::chrono::milliseconds Timeout,
+                        const Interrupt &I) {
+  SteadyTime Deadline = std::chrono::steady_clock::now() + Timeout;
+  std::unique_lock Lock(this->Mutex);
+  for (;;) {
+    uint64_t Accepted = this->Log.record().Term;
+    if (Accepted == Term && this->In != Role::Fenced && this->receivedLocked() >= Position)
+      return this->answerLocked(true);
+    SteadyTime Now = std::chrono::steady_clock::now();
+    if (Accepted > Term || Now >= Deadline || this->Stopped || I.raised())
+      return this->answerLocked(false);
+    this->Changed.wait_until(Lock, std::min(Deadline, Now + WaitPiece));
+  }
+}
+
+std::optional<SqlError> Group::admits(uint64_t Term) {
+  std::lock_guard Lock(this->Mutex);
+  if (this->In == Role::Fenced || this->Log.record().Term != Term)
+    return fencedError(Term, this->Log.record().Term, this->In);
+  // What is visible may still contain a suffix that the primary's log does not have.
+  if (this->In == Role::Replica && this->Applied > this->KnownSame)
+    return SqlError{.State = "57P03",
+                    .Message = "replica has not yet compared its log with the primary's",
+                    .Fatal = true};
+  return std::nullopt;
+}
+
+std::optional<SqlError> Group::admitsWrite(uint64_t Term) {
+  std::lock_guard Lock(this->Mutex);
+  if (this->In == Role::Fenced || this->Log.record().Term != Term)
+    return fencedError(Term, this->Log.record().Term, this->In);
+  if (this->In == Role::Replica)
+    return SqlError{.State = "25006", .Message = "cannot execute a write on a replica"};
+  return std::nullopt;
+}
+
+uint64_t Group::applied() {
+  std::lock_guard Lock(this->Mutex);
+  return this->Applied;
+}
+
+std::pair<std::string, uint64_t> Group::database() {
+  std::lock_guard Lock(this->Mutex);
+  return {this->Data->path(), this->Data->generation()};
+}
+
+std::optional<SqlError> Group::commit(uint64_t Term, std::string Sql,
+                                      const std::function<std::optional<SqlError>()> &Commit) {
+  std::lock_guard Lock(this->Mutex);
+  if (this->In != Role::Primary || this->Log.record().Term != Term)
+    return fencedError(Term, this->Log.record().Term, this->In);
+  if (std::optional<SqlError> E = Commit())
+    return E;
+  this->Log.append({.Term = Term, .Position = this->Log.last() + 1, .Sql = std::move(Sql)});
+  this->Applied = this->Log.last();
+  this->Changed.notify_all();
+  return std::nullopt;
+}
+
+std::optional<LogSlice> Group::slice(const SliceRequest &R, const Interrupt &I) {
+  SteadyTime Deadline = std::chrono::steady_clock::now() + LogRequestWait;
+  std::unique_lock Lock(this->Mutex);
+  for (;;) {
+    if (this->In != Role::Primary || this->Log.record().Term != R.Term)
+      return std::nullopt;
+    uint64_t Last = this->Log.last();
+    if (R.After > Last || this->Log.termAt(R.After) != R.LastTerm) {
+      uint64_t Hint = this->Log.lastNotOver(R.After, R.LastTerm);
+      return LogSlice{.Matches = false,
+                      .HintPosition = Hint,
+                      .HintTerm = this->Log.termAt(Hint),
+                      .Entries = {}};
+    }
+    SteadyTime Now = std::chrono::steady_clock::now();
+    if (Last > R.After || Now >= Deadline || this->Stopped || I.raised())
+      break;
+    this->Changed.wait_until(Lock, std::min(Deadline, Now + WaitPiece));
+  }
+  LogSlice Out{.Matches = true};
+  size_t Bytes = 0;
+  for (uint64_t P = R.After + 1;
+       P <= this->Log.last() && Out.Entries.size() < R.Limit && Bytes < SliceBytes; ++P) {
+    Out.Entries.push_back(this->Log.at(P));
+    Bytes += Out.Entries.back().Sql.size();
+  }
+  return Out;
+}
+
+bool Group::receive(uint64_t Term, uint64_t After, std::vector<LogEntry> Entries) {
+  std::lock_guard Lock(this->Mutex);
+  if (!this->followsLocked(Term))
+    return false;
+  this->KnownSame = std::max(this->KnownSame, After);
+  for (LogEntry &E : Entries) {
+    uint64_t Position = E.Position;
+    bool Present = Position <= this->Log.last();
+    if (Present && this->Log.termAt(Position) != E.Term) {
+      this->truncateLocked(Position - 1);
+      Present = false;
+    }
+    if (!Present) {
+      E.ReceivedAt = std::chrono::steady_clock::now();
+      this->Log.append(std::move(E));
+    }
+    this->KnownSame = std::max(this->KnownSame, Position);
+  }
+  this->Changed.notify_all();
+  return true;
+}
+
+void Group::truncateLocked(uint64_t Position) {
+  LogEvent(LogLevel::Info, "log_truncated")
+      .kv("server", this->Options.Server)
+      .kv("after", Position)
+      .kv("last", this->Log.last());
+  this->Log.truncateAfter(Position);
+  if (this->Applied <= Position)
+    return;
+  this->Data->rebuild();
+  this->Applied = 0;
+}
+
+bool Group::applyNext(uint64_t Term) {
+  std::unique_lock Lock(this->Mutex);
+  if (!this->followsLocked(Term))
+    return false;
+  SteadyTime Now = std::chrono::steady_clock::now();
+  SteadyTime Due = Now + WaitPiece;
+  if (this->Applied < this->KnownSame)
+    Due = std::min(Due, this->Log.at(this->Applied + 1).ReceivedAt + this->Options.Lag);
+  if (Due > Now) {
+    this->Changed.wait_until(Lock, Due);
+    return true;
+  }
+  std::string Sql = this->Log.at(this->Applied + 1).Sql;
+  Lock.unlock();
+  if (std::optional<SqlError> E = this->applyEntry(Sql)) {
+    // Primary and replica run the same text on the same data: a failure means that they differ.
+    LogEvent(LogLevel::Error, "apply_failed").kv("cause", E->Message).kv("sql", Sql);
+    std::abort();
+  }
+  return true;
+}
+
+std::optional<SqlError> Group::applyEntry(const std::string &Sql) {
+  const auto Source = this->database();
+  const uint64_t Generation = Source.second;
+  if (!this->ApplyHandle || this->ApplyGeneration != Generation) {
+    auto Handle = capture([&] { return openSqlite(Source.first, nullptr); });
+    if (!Handle)
+      return SqlError{.State = "58000", .Message = Handle.Problem.Message};
+    this->ApplyHandle = std::move(*Handle);
+    this->ApplyGeneration = Generation;
+  }
+  sqlite3 *Handle = this->ApplyHandle.get();
+  if (!Sql.empty())
+    if (std::optional<SqlError> E = runSql(Handle, "BEGIN IMMEDIATE;" + Sql))
+      return E;
+  // The position changes together with what readers see.
+  std::lock_guard Lock(this->Mutex);
+  bool Current = this->Data->generation() == Generation;
+  if (!Sql.empty())
+    if (std::optional<SqlError> E = runSql(Handle, Current ? "COMMIT" : "ROLLBACK"))
+      return E;
+  if (Current) {
+    ++this->Applied;
+    this->Changed.notify_all();
+  }
+  return std::nullopt;
+}
+
+Result<void> Group::applyAll() {
+  for (;;) {
+    std::string Sql;
+    {
+      std::lock_guard Lock(this->Mutex);
+      if (this->Applied == this->Log.last())
+        return {};
+      Sql = this->Log.at(this->Applied + 1).Sql;
+    }
+    if (std::optional<SqlError> E = this->applyEntry(Sql))
+      return failure(absl::StrFormat("log entry cannot be applied: %s", E->Message));
+  }
+}
+
+Group::LogPlace Group::logEnd() {
+  std::lock_guard Lock(this->Mutex);
+  return {.Position = this->Log.last(), .Term = this->Log.lastTerm()};
+}
+
+Group::LogPlace Group::logPlaceNotOver(LogPlace Limit) {
+  std::lock_guard Lock(this->Mutex);
+  uint64_t Position = this->Log.lastNotOver(Limit.Position, Limit.Term);
+  return {.Position = Position, .Term = this->Log.termAt(Position)};
+}
+
+} // namespace toucan::standin
--- /dev/null
+++ b/standin/db/log.cpp
@@ -0,0 +1,187 @@
+#include "log.h"
+
+#include "base/log.h"
+
+#include "absl/strings/str_format.h"
+
+#include <fcntl.h>
+#include <sys/stat.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <cassert>
+#include <cerrno>
+#include <cstdlib>
+#include <cstring>
+#include <fstream>
+#include <string_view>
+
+namespace toucan::standin {
+
+namespace {
+
+// A record is this header, then the SQL text.
+struct RecordHeader {
+  uint64_t Term;
+  uint64_t Position;
+  uint64_t Bytes;
+  uint64_t Check;
+};
+
+// FNV-1a over the fields and the text; finds a record that was cut by the end of the process.
+uint64_t checksum(const RecordHeader &Header, std::string_view Sql) {
+  uint64_t Hash = 14695981039346656037ULL;
+  auto Add = [&Hash](uint64_t V) { Hash = (Hash ^ V) * 1099511628211ULL; };
+  Add(Header.Term);
+  Add(Header.Position);
+  Add(Header.Bytes);
+  for (char C : Sql)
+    Add(static_cast<uint8_t>(C));
+  return Hash;
+}
+
+[[noreturn]] void stopProcess(std::string_view What) {
+  LogEvent(LogLevel::Error, "log_failed").kv("what", What).kv("cause", std::strerror(errno));
+  std::abort();
+}
+
+void writeAll(int Fd, std::string_view Bytes) {
+  while (!Bytes.empty()) {
+    ssize_t Done = ::write(Fd, Bytes.data(), Bytes.size());
+    if (Done < 0 && errno == EINTR)
+      continue;
+    if (Done <= 0)
+      stopProcess("write");
+    Bytes.remove_prefix(static_cast<size_t>(Done));
+  }
+}
+
+void syncDirectory(const std::string &Dir) {
+  int Fd = ::open(Dir.c_str(), O_RDONLY | O_DIRECTORY | O_CLOEXEC);
+  if (Fd < 0 || ::fsync(Fd) != 0)
+    stopProcess("fsync of the data directory");
+  ::close(Fd);
+}
+
+std::string readWhole(int Fd) {
+  std::string All;
+  std::string Part(1 << 16, '\0');
+  for (;;) {
+    ssize_t Got = ::read(Fd, Part.data(), Part.size());
+    if (Got < 0 && errno == EINTR)
+      continue;
+    if (Got <= 0)
+      return All;
+    All.append(Part, 0, static_cast<size_t>(Got));
+  }
+}
+
+} // namespace
+
+GroupLog::~GroupLog() {
+  if (this->Fd >= 0)
+    ::close(this->Fd);
+}
+
+Result<void> GroupLog::open(const std::string &DataDir) {
+  this->Dir = DataDir;
+  std::string Path = DataDir + "/log";
+  this->Fd = ::open(Path.c_str(), O_RDWR | O_CREAT | O_CLOEXEC | O_APPEND, 0600);
+  if (this->Fd < 0)
+    return failure(absl::StrFormat("cannot open log \"%s\": %s", Path, std::strerror(errno)));
+  BOOST_LEAF_CHECK(this->readRecord());
+  return this->readLog();
+}
+
+Result<void> GroupLog::readLog() {
+  std::string All = readWhole(this->Fd);
+  std::string_view Rest = All;
+  uint64_t End = 0;
+  while (Rest.size() >= sizeof(RecordHeader)) {
+    RecordHeader Header;
+    std::memcpy(&Header, Rest.data(), sizeof Header);
+    if (Rest.size() - sizeof Header < Header.Bytes)
+      break;
+    std::string_view Sql = Rest.substr(sizeof Header, Header.Bytes);
+    if (Header.Check != checksum(Header, Sql))
+      break;
+    if (Header.Position != this->last() + 1)
+      return failure(absl::StrFormat("log of \"%s\": position %d follows position %d", this->Dir,
+                                     Header.Position, this->last()));
+    this->Entries.push_back(
+        {.Term = Header.Term, .Position = Header.Position, .Sql = std::string(Sql)});
+    Rest.remove_prefix(sizeof Header + Header.Bytes);
+    End += sizeof Header + Header.Bytes;
+    this->Ends.push_back(End);
+  }
+  if (!Rest.empty() && ::ftruncate(this->Fd, static_cast<off_t>(End)) != 0)
+    return failure(
+        absl::StrFormat("cannot cut log of \"%s\": %s", this->Dir, std::strerror(errno)));
+  return {};
+}
+
+Result<void> GroupLog::readRecord() {
+  std::ifstream In(this->Dir + "/term");
+  if (!In)
+    return {};
+  int PhaseNumber = 0;
+  if (!(In >> this->Record.Term >> PhaseNumber) || PhaseNumber < 0 ||
+      PhaseNumber > static_cast<int>(Phase::Replica))
+    return failure(absl::StrFormat("term record of \"%s\" is not valid", this->Dir));
+  this->Record.In = static_cast<Phase>(PhaseNumber);
+  In.ignore(1);
+  std::getline(In, this->Record.Proposer, '\0');
+  return {};
+}
+
+uint64_t GroupLog::termAt(uint64_t Position) const {
+  return Position == 0 ? 0 : this->at(Position).Term;
+}
+
+const LogEntry &GroupLog::at(uint64_t Position) const {
+  assert(Position >= 1 && Position <= this->last());
+  return this->Entries[Position - 1];
+}
+
+uint64_t GroupLog::lastNotOver(uint64_t Limit, uint64_t Term) const {
+  uint64_t Position = std::min(Limit, this->last());
+  while (Position > 0 && this->termAt(Position) > Term)
+    --Position;
+  return Position;
+}
+
+void GroupLog::append(LogEntry Entry) {
+  assert(Entry.Position == this->last() + 1);
+  assert(Entry.Term >= this->lastTerm());
+  RecordHeader Header{Entry.Term, Entry.Position, Entry.Sql.size(), 0};
+  Header.Check = checksum(Header, Entry.Sql);
+  std::string Bytes(reinterpret_cast<const char *>(&Header), sizeof Header);
+  Bytes += Entry.Sql;
+  writeAll(this->Fd, Bytes);
+  this->Ends.push_back((this->Ends.empty() ? 0 : this->Ends.back()) + Bytes.size());
+  this->Entries.push_back(std::move(Entry));
+}
+
+void GroupLog::truncateAfter(uint64_t Position) {
+  assert(Position <= this->last());
+  this->Entries.resize(Position);
+  this->Ends.resize(Position);
+  off_t End = static_cast<off_t>(this->Ends.empty() ? 0 : this->Ends.back());
+  if (::ftruncate(this->Fd, End) != 0)
+    stopProcess("truncation of the log");
+}
+
+void GroupLog::saveRecord(TermRecord New) {
+  std::string Path = this->Dir + "/term";
+  std::string Temporary = Path + ".new";
+  int File = ::open(Temporary.c_str(), O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC, 0600);
+  if (File < 0)
+    stopProcess("creation of the term record");
+  writeAll(File, absl::StrFormat("%d %d %s", New.Term, static_cast<int>(New.In), New.Proposer));
+  if (::fsync(File) != 0 || ::close(File) != 0 || ::rename(Temporary.c_str(), Path.c_str()) != 0)
+    stopProcess("replacement of the term record");
+  syncDirectory(this->Dir);
+  this->Record = std::move(New);
+}
+
+} // namespace toucan::standin
--- /dev/null
+++ b/standin/db/log.h
@@ -0,0 +1,74 @@
+// Log of a database group and the record of the accepted term, kept in two files.
+#ifndef TOUCAN_STANDIN_DB_LOG_H
+#define TOUCAN_STANDIN_DB_LOG_H
+
+#include "base/error.h"
+
+#include <chrono>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace toucan::standin {
+
+using SteadyTime = std::chrono::steady_clock::time_point;
+
+// One committed transaction. An empty text is the entry that starts a term.
+struct LogEntry {
+  uint64_t Term = 0;
+  uint64_t Position = 0;
+  std::string Sql;
+  SteadyTime ReceivedAt{}; // not kept in the file
+};
+
+// What a server has done in its accepted term.
+enum class Phase : uint8_t { Accepted, Primary, Replica };
+
+struct TermRecord {
+  uint64_t Term = 0;
+  std::string Proposer;
+  Phase In = Phase::Accepted;
+};
+
+// Not thread-safe. A failed write ends the process: a server that cannot keep its log must stop.
+class GroupLog {
+public:
+  GroupLog() = default;
+  ~GroupLog();
+  GroupLog(const GroupLog &) = delete;
+  GroupLog &operator=(const GroupLog &) = delete;
+
+  // Reads both files of Dir, which must exist. A cut record at the end of the log is removed.
+  Result<void> open(const std::string &Dir);
+
+  uint64_t last() const { return this->Entries.size(); }
+  // Term of an entry, 0 for position 0. Position must not be over last().
+  uint64_t termAt(uint64_t Position) const;
+  uint64_t lastTerm() const { return this->termAt(this->last()); }
+  const LogEntry &at(uint64_t Position) const;
+  // Highest position not over Limit whose term is not over Term; 0 when there is none.
+  uint64_t lastNotOver(uint64_t Limit, uint64_t Term) const;
+
+  // Appends without fsync: an entry survives the end of the process.
+  void append(LogEntry Entry);
+  // Removes all entries after Position.
+  void truncateAfter(uint64_t Position);
+
+  const TermRecord &record() const { return this->Record; }
+  // Replaces the record durably (fsync of file and directory).
+  void saveRecord(TermRecord New);
+
+private:
+  Result<void> readLog();
+  Result<void> readRecord();
+
+  std::string Dir;
+  int Fd = -1;
+  std::vector<LogEntry> Entries;
+  std::vector<uint64_t> Ends; // file offset after each entry
+  TermRecord Record;
+};
+
+} // namespace toucan::standin
+
+#endif // TOUCAN_STANDIN_DB_LOG_H
--- /dev/null
+++ b/standin/db/replication.cpp
@@ -0,0 +1,106 @@
+#include "replication.h"
+
+#include "primary_connection.h"
+
+#include "base/log.h"
+
+#include <utility>
+
+namespace toucan::standin {
+
+namespace {
+
+constexpr uint64_t FetchLimit = 1000; // entries in one answer
+constexpr std::chrono::milliseconds RetryPause{50};
+
+} // namespace
+
+Replication::Replication(Group &To, ReplicationOptions Options)
+    : To(To), Options(std::move(Options)), Fetched(To.logEnd()) {
+  this->FetchThread = std::thread([this] { this->fetchLoop(); });
+  this->ReceiveThread = std::thread([this] { this->receiveLoop(); });
+  this->ApplyThread = std::thread([this] { this->applyLoop(); });
+}
+
+Replication::~Replication() {
+  {
+    std::lock_guard Lock(this->Mutex);
+    this->Stopping = true;
+    this->Changed.notify_all();
+  }
+  this->FetchThread.join();
+  this->ReceiveThread.join();
+  this->ApplyThread.join();
+}
+
+void Replication::pause(std::chrono::milliseconds Time) {
+  std::unique_lock Lock(this->Mutex);
+  this->Changed.wait_for(Lock, Time, [this] { return this->Stopping.load(); });
+}
+
+void Replication::queue(Batch B) {
+  std::lock_guard Lock(this->Mutex);
+  this->Shipping.push_back(std::move(B));
+  this->Changed.notify_all();
+}
+
+// Fetches over new connections until the end, since a broken one must not stop replication.
+void Replication::fetchLoop() {
+  while (!this->Stopping) {
+    PrimaryConnection Primary(this->Stopping);
+    if (Primary.open(this->Options.Host, this->Options.Port))
+      this->fetchFrom(Primary);
+    this->pause(RetryPause);
+  }
+}
+
+void Replication::fetchFrom(PrimaryConnection &Primary) {
+  while (!this->Stopping) {
+    std::optional<LogSlice> Slice = Primary.fetch({.Term = this->Options.Term,
+                                                   .After = this->Fetched.Position,
+                                                   .LastTerm = this->Fetched.Term,
+                                                   .Limit = FetchLimit});
+    if (!Slice)
+      return;
+    if (!Slice->Matches) {
+      this->Fetched =
+          this->To.logPlaceNotOver({.Position = Slice->HintPosition, .Term = Slice->HintTerm});
+      continue;
+    }
+    if (this->Matched && Slice->Entries.empty())
+      continue;
+    Batch B{.Due = std::chrono::steady_clock::now() + this->Options.ShipDelay,
+            .After = this->Fetched.Position,
+            .Entries = std::move(Slice->Entries)};
+    if (!B.Entries.empty())
+      this->Fetched = {.Position = B.Entries.back().Position, .Term = B.Entries.back().Term};
+    this->Matched = true;
+    this->queue(std::move(B));
+  }
+}
+
+void Replication::receiveLoop() {
+  std::unique_lock Lock(this->Mutex);
+  while (!this->Stopping) {
+    if (this->Shipping.empty()) {
+      this->Changed.wait(Lock);
+    } else if (SteadyTime Due = this->Shipping.front().Due;
+               std::chrono::steady_clock::now() < Due) {
+      this->Changed.wait_until(Lock, Due);
+    } else {
+      Batch B = std::move(this->Shipping.front());
+      this->Shipping.pop_front();
+      Lock.unlock();
+      if (!this->To.receive(this->Options.Term, B.After, std::move(B.Entries)))
+        return;
+      Lock.lock();
+    }
+  }
+}
+
+void Replication::applyLoop() {
+  while (!this->Stopping && this->To.applyNext(this->Options.Term)) {
+  }
+}
+
+} // namespace toucan::standin
--- /dev/null
+++ b/standin/db/replication.h
@@ -0,0 +1,66 @@
+// Pulls the primary's log into a replica.
+#ifndef TOUCAN_STANDIN_DB_REPLICATION_H
+#define TOUCAN_STANDIN_DB_REPLICATION_H
+
+#include "group.h"
+
+#include <atomic>
+#include <chrono>
+#include <condition_variable>
+#include <cstdint>
+#include <deque>
+#include <mutex>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace toucan::standin {
+
+class PrimaryConnection;
+
+struct ReplicationOptions {
+  uint64_t Term = 0;
+  std::string Host;
+  uint16_t Port = 0;
+  std::chrono::milliseconds ShipDelay{0};
+};
+
+// Runs from construction to destruction in three threads: one fetches entries from the primary,
+// one receives them after the shipping delay, one applies them after the lag.
+class Replication {
+public:
+  Replication(Group &To, ReplicationOptions Options);
+  ~Replication();
+  Replication(const Replication &) = delete;
+  Replication &operator=(const Replication &) = delete;
+
+private:
+  struct Batch {
+    SteadyTime Due;
+    uint64_t After = 0;
+    std::vector<LogEntry> Entries;
+  };
+
+  void fetchLoop();
+  void fetchFrom(PrimaryConnection &Primary);
+  void receiveLoop();
+  void applyLoop();
+  void queue(Batch B);
+  void pause(std::chrono::milliseconds Time);
+
+  Group &To;
+  const ReplicationOptions Options;
+  std::atomic<bool> Stopping = false;
+  std::mutex Mutex;
+  std::condition_variable Changed;
+  std::deque<Batch> Shipping; // fetched, not yet received
+  Group::LogPlace Fetched;    // end of what was fetched; only used by the fetch thread
+  bool Matched = false;       // Fetched is known to be in the primary's log
+  std::thread FetchThread;
+  std::thread ReceiveThread;
+  std::thread ApplyThread;
+};
+
+} // namespace toucan::standin
+
+#endif // TOUCAN_STANDIN_DB_REPLICATION_H
--- /dev/null
+++ b/standin/db/session.cpp
@@ -0,0 +1,153 @@
+#include "session.h"
+
+#include "absl/strings/str_format.h"
+
+#include <utility>
+#include <vector>
+
+namespace toucan::standin {
+
+Session::Session(SessionContext &Context, int Fd, SessionKey Key)
+    : Context(Context), Key(Key), Io(Fd, this->I), Txn(Context.G, this->I) {}
+
+Session::~Session() {
+  this->Portals.clear();
+  this->Statements.clear();
+  this->Txn.rollback(this->Handle.get());
+  if (this->Entered)
+    this->Context.Leave();
+}
+
+void Session::end(const std::string &Reason) {
+  this->I.end(Reason);
+  this->Io.wake();
+}
+
+void Session::run() {
+  if (this->startUp()) {
+    wire::Frame F;
+    while (!this->Finished && this->Io.good() && this->Io.read(F))
+      if (!this->handle(F))
+        break;
+  }
+  if (this->I.ended() && !this->Finished)
+    this->sendError({.State = "57P01", .Message = this->I.reason(), .Fatal = true});
+  this->Io.flush();
+}
+
+// False when the connection ends.
+bool Session::handle(const wire::Frame &F) {
+  if (F.Type == 'X')
+    return false;
+  this->I.beginRequest();
+  if (F.Type == 'Q') {
+    std::optional<std::string> Sql = wire::parseQuery(F.Body);
+    if (Sql)
+      this->simpleQuery(*Sql);
+    else
+      this->sendError({.State = "08P01", .Message = "malformed Query message", .Fatal = true});
+    return true;
+  }
+  if (F.Type == 'S') {
+    this->sync();
+    return true;
+  }
+  if (this->SkipToSync)
+    return true;
+  if (std::optional<SqlError> E = this->extended(F)) {
+    this->sendError(*E);
+    this->Portals.clear();
+    this->Txn.fail(this->Handle.get());
+    this->SkipToSync = true;
+  }
+  return true;
+}
+
+void Session::simpleQuery(const std::string &Sql) {
+  this->Portals.erase("");
+  std::optional<SqlError> E = this->openHandle();
+  std::vector<std::string> Texts = splitStatements(Sql);
+  if (Texts.empty() && !E)
+    this->Io.write(wire::emptyQueryResponse());
+  for (size_t At = 0; At < Texts.size() && !E; ++At)
+    E = this->runSimple(Texts[At], At + 1 == Texts.size());
+  if (E) {
+    this->sendError(*E);
+    this->Txn.fail(this->Handle.get());
+  }
+  if (!this->Finished)
+    this->ready();
+}
+
+std::optional<SqlError> Session::runSimple(const std::string &Text, bool Last) {
+  Portal P;
+  P.Cmd = classify(Text);
+  if (std::optional<SqlError> E = this->checkFailed(P.Cmd))
+    return E;
+  if (P.Cmd.Kind == CommandKind::Sql) {
+    if (std::optional<SqlError> E = prepareSql(this->Handle.get(), Text, P.Statement))
+      return E;
+    if (parameterCount(P.Statement.get()) > 0)
+      return SqlError{.State = "42P02", .Message = "there is no parameter $1"};
+    P.Columns = columnsOf(P.Statement.get());
+  }
+  if (P.Cmd.Kind == CommandKind::Show)
+    P.Columns = {{.Name = P.Cmd.Name}};
+  if (!P.Columns.empty())
+    this->Io.write(rowDescription(P.Columns, nullptr));
+  return this->execute(P, 0, Last);
+}
+
+void Session::ready() {
+  if (!this->Txn.inBlock())
+    this->Portals.clear();
+  for (const auto &[Name, Value] : this->Settings.takeChanges())
+    this->Io.write(wire::parameterStatus(Name, Value));
+  this->reportPosition();
+  this->I.endRequest();
+  this->Io.write(wire::readyForQuery(this->Txn.status()));
+  this->Io.flush();
+}
+
+void Session::sendError(const SqlError &E) {
+  // A request of an ended connection fails with the reason of the end.
+  bool Ended = this->I.ended();
+  bool Fatal = E.Fatal || Ended;
+  this->Io.write(wire::error(Fatal ? "FATAL" : "ERROR", Ended ? "57P01" : E.State,
+                             Ended ? this->I.reason() : E.Message));
+  this->Finished = this->Finished || Fatal;
+  if (Fatal)
+    this->Io.flush();
+}
+
+void Session::reportPosition() {
+  if (this->Term == 0)
+    return;
+  std::string Now = absl::StrFormat("%d/%d", this->Term.load(), this->Context.G.applied());
+  if (Now == this->LastPosition)
+    return;
+  this->Io.write(wire::parameterStatus("group_position", Now));
+  this->LastPosition = Now;
+}
+
+std::optional<SqlError> Session::openHandle() {
+  const auto Source = this->Context.G.database();
+  const uint64_t Now = Source.second;
+  if (this->Handle && (this->Generation == Now || this->Txn.writing()))
+    return std::nullopt;
+  this->Portals.clear();
+  this->Statements.clear();
+  auto Opened = capture([&] { return openSqlite(Source.first, this); });
+  if (!Opened)
+    return SqlError{.State = "58000", .Message = Opened.Problem.Message};
+  this->Handle = std::move(*Opened);
+  this->Generation = Now;
+  return std::nullopt;
+}
+
+void Session::notice(std::string_view Text) {
+  this->Io.write(wire::noticeResponse(
+      {{'S', "NOTICE"}, {'V', "NOTICE"}, {'C', "00000"}, {'M', std::string(Text)}}));
+}
+
+} // namespace toucan::standin
--- /dev/null
+++ b/standin/db/session.h
@@ -0,0 +1,127 @@
+// One client connection: start-up, simple and extended query protocol.
+#ifndef TOUCAN_STANDIN_DB_SESSION_H
+#define TOUCAN_STANDIN_DB_SESSION_H
+
+#include "channel.h"
+#include "group.h"
+#include "interrupt.h"
+#include "portal.h"
+#include "settings_map.h"
+#include "transaction.h"
+
+#include <atomic>
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace toucan::standin {
+
+struct ServerOptions {
+  std::string Id = "standin";
+  std::string Database = "standin";
+  uint16_t Port = 0; // 0: chosen by the system
+  std::string DataDir;
+  int64_t Slots = 3;
+  int64_t Connections = 25;
+  std::chrono::milliseconds ConnectDelay{0}; // before AuthenticationOk
+  std::chrono::milliseconds Lag{0};
+  std::chrono::milliseconds ShipDelay{0};
+  std::chrono::milliseconds WorkDelay{0}; // added to each statement while it holds a slot
+};
+
+// What sessions share.
+struct SessionContext {
+  const ServerOptions &Options;
+  Group &G;
+  Slots Work;
+  // Counts a work connection; false when the limit is reached.
+  std::function<bool()> Enter;
+  std::function<void()> Leave;
+  std::function<void(uint32_t ProcessId, uint32_t SecretKey)> Cancel;
+};
+
+struct SessionKey {
+  uint32_t ProcessId = 0;
+  uint32_t SecretKey = 0;
+};
+
+class Session : private SqlHooks {
+public:
+  // Owns Fd.
+  Session(SessionContext &Context, int Fd, SessionKey Key);
+  ~Session() override;
+
+  // Serves the client until it leaves or the connection is ended.
+  void run();
+
+  // Callable from any thread while the object exists.
+  void end(const std::string &Reason);
+  void cancel() { this->I.cancel(); }
+  const SessionKey &key() const { return this->Key; }
+  // 0 for a control connection and before start-up.
+  uint64_t term() const { return this->Term; }
+
+private:
+  // session_startup.cpp
+  bool startUp();
+  std::optional<SqlError> admit(const wire::StartupPacket &Packet);
+  std::optional<SqlError> readParameters(const wire::StartupPacket &Packet);
+
+  // session.cpp
+  bool handle(const wire::Frame &F);
+  void simpleQuery(const std::string &Sql);
+  std::optional<SqlError> runSimple(const std::string &Text, bool Last);
+  void ready();
+  void sendError(const SqlError &E);
+  void reportPosition();
+  std::optional<SqlError> openHandle();
+  bool sleep(std::chrono::milliseconds Time) override { return this->I.sleep(Time); }
+  void notice(std::string_view Text) override;
+  bool interrupted() override { return this->I.raised(); }
+
+  // session_execute.cpp
+  std::optional<SqlError> checkFailed(const Command &C) const;
+  std::optional<SqlError> execute(Portal &P, int32_t MaxRows, bool Last);
+  std::optional<SqlError> executeSql(Portal &P, int32_t MaxRows, bool Last);
+  std::optional<SqlError> step(Portal &P, int32_t MaxRows, bool &Suspended);
+  std::optional<SqlError> complete(const std::string &Tag, bool Last);
+  std::optional<SqlError> runTransaction(const Command &C, std::string &Tag);
+  std::optional<SqlError> runSetting(const Command &C);
+  std::optional<SqlError> runGroupCall(const Command &C);
+  std::optional<SqlError> runLogCall(const Command &C);
+  void sendStatus(const GroupStatus &S);
+  std::optional<SqlError> endTransaction(bool Commit);
+
+  // session_extended.cpp
+  std::optional<SqlError> extended(const wire::Frame &F);
+  std::optional<SqlError> parse(std::string_view Body);
+  std::optional<SqlError> bind(std::string_view Body);
+  std::optional<SqlError> describe(std::string_view Body);
+  std::optional<SqlError> executeMessage(std::string_view Body);
+  std::optional<SqlError> closeMessage(std::string_view Body);
+  void sync();
+
+  SessionContext &Context;
+  const SessionKey Key;
+  Interrupt I;
+  Channel Io;
+  std::atomic<uint64_t> Term = 0;
+  bool Entered = false;     // counted as a work connection
+  bool SkipToSync = false;  // after an error in the extended protocol
+  bool Finished = false;    // a FATAL error was sent
+  std::string LastPosition; // last group_position sent
+  SettingsMap Settings;
+  Transaction Txn;
+  SqliteHandle Handle;
+  uint64_t Generation = 0; // of Handle
+  std::map<std::string, Prepared> Statements;
+  std::map<std::string, Portal> Portals;
+};
+
+} // namespace toucan::standin
+
+#endif // TOUCAN_STANDIN_DB_SESSION_H
--- /dev/null
+++ b/standin/db/session_startup.cpp
@@ -0,0 +1,109 @@
+#include "session.h"
+
+#include "absl/strings/ascii.h"
+#include "absl/strings/numbers.h"
+#include "absl/strings/str_format.h"
+#include "absl/strings/str_split.h"
+
+#include <utility>
+#include <vector>
+
+namespace toucan::standin {
+
+namespace {
+
+using Assignment = std::pair<std::string, std::string>;
+
+// Reads "-c name=value", "-cname=value" and "--name=value".
+std::vector<Assignment> readOptions(const std::string &Options) {
+  std::vector<Assignment> Out;
+  bool Next = false;
+  for (std::string Word :
+       std::vector<std::string>(absl::StrSplit(Options, ' ', absl::SkipEmpty()))) {
+    if (Word == "-c") {
+      Next = true;
+      continue;
+    }
+    if (!Next && Word.size() > 2 && (Word.substr(0, 2) == "-c" || Word.substr(0, 2) == "--"))
+      Word = Word.substr(2);
+    else if (!Next)
+      continue;
+    Next = false;
+    size_t At = Word.find('=');
+    if (At != std::string::npos)
+      Out.emplace_back(absl::AsciiStrToLower(Word.substr(0, At)), Word.substr(At + 1));
+  }
+  return Out;
+}
+
+} // namespace
+
+bool Session::startUp() {
+  wire::StartupPacket Packet;
+  for (;;) {
+    if (!this->Io.readStartup(Packet))
+      return false;
+    if (Packet.Code != wire::SslCode && Packet.Code != wire::GssEncCode)
+      break;
+    if (!this->Io.write("N") || !this->Io.flush())
+      return false;
+  }
+  if (Packet.Code == wire::CancelCode) {
+    this->Context.Cancel(Packet.ProcessId, Packet.SecretKey);
+    return false;
+  }
+  if (std::optional<SqlError> E = this->admit(Packet)) {
+    E->Fatal = true;
+    this->sendError(*E);
+    return false;
+  }
+  this->Io.write(wire::authenticationOk());
+  for (const auto &[Name, Value] : this->Settings.takeChanges())
+    this->Io.write(wire::parameterStatus(Name, Value));
+  this->Io.write(wire::backendKeyData(this->Key.ProcessId, this->Key.SecretKey));
+  this->ready();
+  return this->Io.good();
+}
+
+std::optional<SqlError> Session::admit(const wire::StartupPacket &Packet) {
+  if (std::optional<SqlError> E = this->readParameters(Packet))
+    return E;
+  if (this->Term != 0) {
+    if (std::optional<SqlError> E = this->Context.G.admits(this->Term))
+      return E;
+    this->Entered = this->Context.Enter();
+    if (!this->Entered)
+      return SqlError{.State = "53300", .Message = "sorry, too many clients already"};
+  }
+  if (!this->I.sleep(this->Context.Options.ConnectDelay))
+    return SqlError{.State = "57P01", .Message = this->I.reason()};
+  // The term may have changed during the delay.
+  return this->Term == 0 ? std::nullopt : this->Context.G.admits(this->Term);
+}
+
+std::optional<SqlError> Session::readParameters(const wire::StartupPacket &Packet) {
+  std::vector<Assignment> All;
+  for (const auto &[Name, Value] : Packet.Parameters) {
+    if (Name == "options") {
+      for (Assignment &A : readOptions(Value))
+        All.push_back(std::move(A));
+    } else if (Name != "user" && Name != "database" && Name != "replication") {
+      All.emplace_back(absl::AsciiStrToLower(Name), Value);
+    }
+  }
+  for (const auto &[Name, Value] : All) {
+    if (std::optional<SqlError> E = this->Settings.start(Name, Value))
+      return E;
+    uint64_t Number = 0;
+    if (Name != "group_term")
+      continue;
+    if (!absl::SimpleAtoi(Value, &Number) || Number == 0)
+      return SqlError{.State = "22023",
+                      .Message = absl::StrFormat("group_term \"%s\" is not a term", Value)};
+    this->Term = Number;
+    this->Txn.setTerm(Number);
+  }
+  return std::nullopt;
+}
+
+} // namespace toucan::standin
--- /dev/null
+++ b/standin/db/standin_db.h
@@ -0,0 +1,9 @@
+// Public header of the stand-in database server.
+#ifndef TOUCAN_STANDIN_DB_H
+#define TOUCAN_STANDIN_DB_H
+
+#include "group.h"
+#include "log.h"
+#include "server.h"
+
+#endif // TOUCAN_STANDIN_DB_H
--- /dev/null
+++ b/standin/db/transaction.h
@@ -0,0 +1,71 @@
+// Transaction of one connection, as PostgreSQL shows it.
+#ifndef TOUCAN_STANDIN_DB_TRANSACTION_H
+#define TOUCAN_STANDIN_DB_TRANSACTION_H
+
+#include "database.h"
+#include "group.h"
+#include "interrupt.h"
+
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace toucan::standin {
+
+// Each statement before the first write reads its own snapshot (READ COMMITTED). The first write
+// takes the writer slot of the group and begins the transaction of SQLite.
+class Transaction {
+public:
+  Transaction(Group &G, const Interrupt &I) : G(G), Writer(G.writer(), I) {}
+
+  // Term of the connection; 0 for a control connection, which cannot write.
+  void setTerm(uint64_t T) { this->Term = T; }
+
+  char status() const;
+  bool inBlock() const { return this->Block; }
+  bool failed() const { return this->Failed; }
+  bool writing() const { return this->Writing; }
+
+  // BEGIN; turns an implicit transaction that has begun to write into a block.
+  void begin(bool ReadOnly);
+  void setReadOnly(bool ReadOnly) { this->ReadOnly = ReadOnly; }
+  // Ends the transaction. An error means that it was rolled back.
+  std::optional<SqlError> commit(sqlite3 *Handle);
+  void rollback(sqlite3 *Handle);
+
+  std::optional<SqlError> savepoint(sqlite3 *Handle, const std::string &Name);
+  std::optional<SqlError> release(sqlite3 *Handle, const std::string &Name);
+  std::optional<SqlError> rollbackTo(sqlite3 *Handle, const std::string &Name);
+
+  // Must succeed before a statement that writes. Gives Slot back while it waits for the writer.
+  std::optional<SqlError> beginWrite(sqlite3 *Handle, SlotHold &Slot);
+  // Notes a statement that has written, with its parameters bound.
+  void wrote(std::string Sql) { this->Texts.push_back(std::move(Sql)); }
+  // A statement has failed: ends an implicit transaction, marks a block as failed.
+  void fail(sqlite3 *Handle);
+
+private:
+  struct Savepoint {
+    std::string Name;
+    size_t Texts; // number of statements before it
+  };
+  // Index of the newest savepoint of the name.
+  std::optional<size_t> find(const std::string &Name) const;
+  void clear();
+
+  Group &G;
+  SlotHold Writer;
+  uint64_t Term = 0;
+  bool Block = false;
+  bool Failed = false;
+  bool ReadOnly = false;
+  bool Writing = false;
+  std::vector<std::string> Texts;
+  std::vector<Savepoint> Savepoints;
+};
+
+} // namespace toucan::standin
+
+#endif // TOUCAN_STANDIN_DB_TRANSACTION_H
