--- /dev/null
+++ b/src/pool/choose.cpp
@@ -0,0 +1,162 @@
+// Choice of the target, estimates, and the number of connections.
+#include "pool/dispatch.h"
+
+#include <algorithm>
+
+namespace toucan::pool {
+
+using rules::TargetState;
+using rules::WorkClass;
+
+namespace {
+
+constexpr absl::Duration MinRetryAfter = absl::Milliseconds(20);
+// Free slots of the primary that reads spilled from full replicas leave for other work.
+constexpr uint32_t SpillReserve = 1;
+
+size_t index(WorkClass Class) { return static_cast<size_t>(Class); }
+
+} // namespace
+
+Dispatcher::TargetSlots *Dispatcher::primary() {
+  if (!this->State || !this->State->Primary)
+    return nullptr;
+  auto It = this->Targets.find(*this->State->Primary);
+  return It == this->Targets.end() ? nullptr : &It->second;
+}
+
+const group::ServerState *Dispatcher::server(const TargetId &Id) const {
+  if (!this->State)
+    return nullptr;
+  for (const group::ServerState &S : this->State->Servers)
+    if (S.Id == Id)
+      return &S;
+  return nullptr;
+}
+
+uint32_t Dispatcher::executing(const TargetSlots &T) const {
+  return T.Executing[index(WorkClass::Short)] + T.Executing[index(WorkClass::Long)];
+}
+
+// Long work leaves one slot for short work, unless the target has only one.
+bool Dispatcher::slotFree(const TargetSlots &T, WorkClass Class) const {
+  if (this->executing(T) >= this->Slots)
+    return false;
+  uint32_t LongLimit = std::max(1U, this->Slots - 1);
+  return Class == WorkClass::Short || T.Executing[index(WorkClass::Long)] < LongLimit;
+}
+
+// Decides whether a target may get work outside the transactions that it has.
+bool Dispatcher::takesNewWork(const TargetId &Id, const TargetSlots &T) const {
+  const group::ServerState *S = this->server(Id);
+  if (!T.Listed || T.State != TargetState::Active || !S || !S->Reachable)
+    return false;
+  if (this->State->Primary == Id)
+    return true;
+  return S->Is == group::Role::Replica && S->Accepted == this->State->Current;
+}
+
+bool Dispatcher::primaryTakes(const Ticket &T) {
+  TargetSlots *P = this->primary();
+  // Within its term the primary has every position; a floor of a later term means that this
+  // instance has not heard of the new primary yet.
+  return P && this->takesNewWork(*this->State->Primary, *P) &&
+         T.Floor.InTerm <= this->State->Current && P->Idle > 0 && this->slotFree(*P, T.Class);
+}
+
+// Decides whether the primary serves a read whose replicas are all full.
+bool Dispatcher::spillTakes(const Ticket &T) {
+  if (!this->primaryTakes(T) || !this->lane(WorkClass::Short, PrimaryLane).empty())
+    return false;
+  return this->executing(*this->primary()) + SpillReserve < this->Slots;
+}
+
+// Picks the least loaded replica that covers the floor and the age of a read.
+Dispatcher::Choice Dispatcher::chooseReplica(const Ticket &T, Instant Now) const {
+  Choice Best;
+  uint32_t BestLoad = 0;
+  auto Improve = [&](Fit Result) { Best.Result = std::max(Best.Result, Result); };
+  if (!this->State || T.Floor.InTerm > this->State->Current)
+    return Best;
+  for (const auto &[Id, Slots] : this->Targets) {
+    if (this->State->Primary == Id || !this->takesNewWork(Id, Slots))
+      continue;
+    const group::ServerState *S = this->server(Id);
+    if (Now - S->CurrentAt > T.MaxAge || (Slots.Total == 0 && Slots.Failures > 0))
+      continue;
+    if (std::max(S->Applied, Slots.Applied) < T.Floor.Position) {
+      Improve(Fit::Behind);
+      continue;
+    }
+    uint32_t Load = this->executing(Slots);
+    if (!this->slotFree(Slots, T.Class)) {
+      Improve(Fit::Busy);
+    } else if (Slots.Idle == 0) {
+      Improve(Fit::Opening);
+    } else if (Best.Result != Fit::Start || Load < BestLoad) {
+      Best = {.Result = Fit::Start, .At = Id};
+      BestLoad = Load;
+    }
+  }
+  return Best;
+}
+
+uint32_t Dispatcher::laneSlots(Lane L, WorkClass Class) const {
+  uint32_t EachTarget = Class == WorkClass::Long ? std::max(1U, this->Slots - 1) : this->Slots;
+  uint32_t Count = 0;
+  if (L == ReplicaLane)
+    for (const auto &[Id, T] : this->Targets)
+      if (this->State && this->State->Primary != Id && this->takesNewWork(Id, T))
+        ++Count;
+  return EachTarget * std::max(1U, Count);
+}
+
+// Time until a new request would start, from the learned service time of its class.
+absl::Duration Dispatcher::estimatedWait(const Ticket &T) const {
+  Lane L = T.ReplicaAllowed ? ReplicaLane : PrimaryLane;
+  size_t Ahead = this->lane(T.Class, L).size();
+  return this->Service[index(T.Class)] * static_cast<double>(Ahead) /
+         static_cast<double>(this->laneSlots(L, T.Class));
+}
+
+// Adds up to a half, so that refused callers do not return at the same moment (SplitMix64).
+absl::Duration Dispatcher::jittered(absl::Duration D) {
+  this->Random += 0x9e3779b97f4a7c15U;
+  uint64_t Z = this->Random;
+  Z = (Z ^ (Z >> 30)) * 0xbf58476d1ce4e5b9U;
+  Z = (Z ^ (Z >> 27)) * 0x94d049bb133111ebU;
+  Z ^= Z >> 31;
+  double Share = static_cast<double>(Z >> 11) / static_cast<double>(uint64_t{1} << 53);
+  return std::max(D, MinRetryAfter) * (1 + Share / 2);
+}
+
+// Requests that wait for a connection to this target.
+uint32_t Dispatcher::demand(const TargetId &Id) const {
+  Lane L = this->State->Primary == Id ? PrimaryLane : ReplicaLane;
+  size_t Waiting = this->lane(WorkClass::Short, L).size() + this->lane(WorkClass::Long, L).size();
+  return static_cast<uint32_t>(std::min<size_t>(Waiting, this->Slots));
+}
+
+// A target of a database in use keeps one idle connection ahead of need, and as many as its free
+// slots can use when requests wait.
+bool Dispatcher::wantsConnection(const TargetId &Id, const TargetSlots &T, Instant Now) const {
+  if (T.Connecting || T.Total >= this->MaxConnections || Now < T.OpenAfter ||
+      !this->takesNewWork(Id, T))
+    return false;
+  Instant Used = this->State->Primary == Id ? this->LastUse : this->LastReplicaUse;
+  if (Now - Used > this->Options.IdleConnection)
+    return false;
+  uint32_t FreeSlots = this->Slots - std::min(this->Slots, this->executing(T));
+  return T.Idle < std::max(1U, std::min(this->demand(Id), FreeSlots));
+}
+
+void Dispatcher::openConnections(Instant Now, std::vector<Action> &Out) {
+  for (auto &[Id, T] : this->Targets) {
+    if (!this->wantsConnection(Id, T, Now))
+      continue;
+    T.Connecting = true;
+    Out.push_back({.Kind = ActionKind::Open, .At = Id});
+  }
+}
+
+} // namespace toucan::pool
--- /dev/null
+++ b/src/pool/connections.cpp
@@ -0,0 +1,260 @@
+// Target connections and the leases that pin them.
+#include "pool/service.h"
+
+#include "absl/strings/str_format.h"
+
+#include <algorithm>
+#include <cassert>
+
+namespace toucan::pool {
+
+namespace {
+
+constexpr std::string_view DefaultUser = "toucanrun";
+
+std::string_view stateName(rules::TargetState S) {
+  switch (S) {
+  case rules::TargetState::Active:
+    return "active";
+  case rules::TargetState::Joining:
+    return "joining";
+  case rules::TargetState::Leaving:
+    return "leaving";
+  }
+  return "";
+}
+
+std::string_view roleName(group::Role R) {
+  switch (R) {
+  case group::Role::Primary:
+    return "primary";
+  case group::Role::Replica:
+    return "replica";
+  case group::Role::Fenced:
+    return "fenced";
+  case group::Role::Unknown:
+    return "unknown";
+  }
+  return "";
+}
+
+} // namespace
+
+DatabaseState &PoolService::Impl::databaseOf(const Connection &C) {
+  return *this->Databases.find(C.options().Database)->second;
+}
+
+void PoolService::Impl::openConnection(DatabaseState &D, const TargetId &At) {
+  auto It = std::find_if(D.Group.Targets.begin(), D.Group.Targets.end(),
+                         [&](const member::Target &T) { return T.Id == At; });
+  if (It == D.Group.Targets.end() || !D.CurrentTerm) {
+    D.Dispatch.connectAborted(At);
+    return;
+  }
+  ConnectionId Id(this->NextConnection++);
+  ConnectionOptions Where{.Database = D.Group.Name,
+                          .Target = At,
+                          .Host = It->Host,
+                          .Port = It->Port,
+                          .User = this->Options.TargetUser.empty() ? std::string(DefaultUser)
+                                                                   : this->Options.TargetUser,
+                          .Password = this->Options.TargetPassword,
+                          .InTerm = *D.CurrentTerm,
+                          .ConnectDeadline = this->InLoop.now() + this->Options.ConnectTimeout};
+  auto C = std::make_unique<Connection>(this->InLoop, *this, Id, std::move(Where));
+  C->AtPrimary = D.Primary == At;
+  Connection &New = *C;
+  this->Connections[Id] = std::move(C);
+  New.open();
+}
+
+void PoolService::Impl::onOpened(Connection &C) {
+  DatabaseState &D = this->databaseOf(C);
+  this->Counters.add("pool_connections_opened");
+  LogEvent(LogLevel::Debug, "pool_connection_opened")
+      .kv("database", D.Group.Name.Value)
+      .kv("target", C.options().Target.Value)
+      .kv("term", C.options().InTerm.Value);
+  D.Dispatch.connected(C.options().Target);
+  D.Idle.push_back(&C);
+  D.Dispatch.observe(C.options().Target, C.LastPosition);
+  this->pump(D);
+}
+
+void PoolService::Impl::release(Connection &C, DatabaseState &D) {
+  if (auto It = this->Leases.find(C.Lease); It != this->Leases.end()) {
+    this->InLoop.cancel(It->second.Timer);
+    this->Leases.erase(It);
+  }
+  C.Lease = LeaseId();
+  C.IdleSince = this->InLoop.now();
+  C.setReading(true);
+  D.Idle.push_back(&C);
+  D.Dispatch.released(C.options().Target);
+}
+
+void PoolService::Impl::onLost(Connection &C, const std::string &Why) { this->drop(C, false, Why); }
+
+void PoolService::Impl::drop(Connection &C, bool TermOver, const std::string &Why) {
+  DatabaseState &D = this->databaseOf(C);
+  bool Written = C.written();
+  bool Failed = !C.Opened && C.closed();
+  TicketId Running = C.Request;
+  C.close();
+  this->Counters.add(Failed ? "pool_connections_failed" : "pool_connections_closed");
+  LogEvent(Failed ? LogLevel::Warn : LogLevel::Debug, "pool_connection_closed")
+      .kv("database", D.Group.Name.Value)
+      .kv("target", C.options().Target.Value)
+      .kv("cause", Why);
+  this->forget(C, D, Failed);
+  if (Request *R = this->find(Running))
+    this->onConnectionEnd(*R, TermOver, Written, Why);
+  this->pump(D);
+}
+
+// Takes a closed connection out of all tables. It is freed later, because its handlers may be on
+// the stack.
+void PoolService::Impl::forget(Connection &C, DatabaseState &D, bool Failed) {
+  const TargetId &At = C.options().Target;
+  bool WasIdle = std::erase(D.Idle, &C) > 0;
+  if (C.Opened)
+    D.Dispatch.closed(At, WasIdle);
+  else if (Failed)
+    D.Dispatch.connectFailed(At, this->InLoop.now());
+  else
+    D.Dispatch.connectAborted(At);
+  if (auto It = this->Leases.find(C.Lease); It != this->Leases.end()) {
+    this->InLoop.cancel(It->second.Timer);
+    this->Leases.erase(It);
+  }
+  C.Request = TicketId();
+  auto It = this->Connections.find(C.id());
+  assert(It != this->Connections.end());
+  this->Closed.push_back(std::move(It->second));
+  this->Connections.erase(It);
+  this->InLoop.post([Weak = std::weak_ptr(this->Alive)] {
+    if (auto Self = Weak.lock())
+      (*Self)->Closed.clear();
+  });
+}
+
+// Takes over the state of a group. Connections of an older term, and those of replicas that cannot
+// be reached, are closed; reads that run there are tried elsewhere.
+void PoolService::Impl::onGroup(const group::GroupState &S) {
+  DatabaseState *D = this->database(S.Database);
+  if (!D)
+    return;
+  D->CurrentTerm = S.Current;
+  D->Primary = S.Primary;
+  D->Dispatch.setState(&S);
+  std::vector<Connection *> OfOldTerm;
+  std::vector<Connection *> Unreachable;
+  for (auto &[Id, C] : this->Connections) {
+    if (C->options().Database != S.Database)
+      continue;
+    const TargetId &At = C->options().Target;
+    bool Reachable = std::none_of(S.Servers.begin(), S.Servers.end(), [&](const auto &Server) {
+      return Server.Id == At && !Server.Reachable;
+    });
+    if (C->options().InTerm != S.Current)
+      OfOldTerm.push_back(C.get());
+    else if (!C->AtPrimary && C->Opened && !Reachable)
+      Unreachable.push_back(C.get());
+  }
+  bool WasPumping = D->Pumping;
+  D->Pumping = true; // dispatch once, after all of them
+  for (Connection *C : OfOldTerm)
+    this->drop(*C, true, "the term of the group changed");
+  for (Connection *C : Unreachable)
+    this->drop(*C, false, "the replica cannot be reached");
+  D->Pumping = WasPumping;
+  if (!OfOldTerm.empty())
+    LogEvent(LogLevel::Info, "pool_term_changed")
+        .kv("database", S.Database.Value)
+        .kv("term", S.Current.Value)
+        .kv("connections_closed", OfOldTerm.size());
+  this->pump(*D);
+}
+
+// Pins a connection to the transaction that a request has left open.
+void PoolService::Impl::keepLease(Request &R, Connection &C) {
+  if (C.Lease.Value == 0) {
+    C.Lease = LeaseId(this->NextLease++);
+    this->Leases[C.Lease] = {
+        .Id = C.Lease, .Holder = R.From, .Session = R.Exec.session_id(), .On = &C};
+  }
+  Lease &L = this->Leases.find(C.Lease)->second;
+  L.Status = R.Reply->status();
+  R.Lease = L.Id.Value;
+  C.setReading(true);
+  this->waitInLease(L);
+}
+
+// Starts the idle-in-transaction deadline.
+void PoolService::Impl::waitInLease(Lease &L) {
+  L.On->Request = TicketId();
+  this->InLoop.cancel(L.Timer);
+  L.Timer =
+      this->InLoop.at(this->InLoop.now() + this->Options.IdleInTransaction, [this, Id = L.Id] {
+        this->Counters.add("pool_leases_timed_out");
+        this->endLease(Id);
+      });
+}
+
+// Closes the connection of a transaction, which rolls it back.
+void PoolService::Impl::endLease(LeaseId Id) {
+  auto It = this->Leases.find(Id);
+  if (It == this->Leases.end())
+    return;
+  LogEvent(LogLevel::Info, "pool_lease_ended")
+      .kv("lease", Id.Value)
+      .kv("holder", It->second.Holder.Value)
+      .kv("session", It->second.Session);
+  this->drop(*It->second.On, false, "the transaction was ended");
+}
+
+void PoolService::Impl::onRelease(const InstanceId &From, LeaseId Id) {
+  auto It = this->Leases.find(Id);
+  if (It != this->Leases.end() && It->second.Holder == From)
+    this->endLease(Id);
+}
+
+proto::TargetsReply PoolService::Impl::targets() const {
+  proto::TargetsReply Out;
+  Instant Now = this->InLoop.now();
+  for (const auto &[Name, D] : this->Databases) {
+    const group::GroupState *S = this->Groups.state(Name);
+    std::optional<InstanceId> Owner = this->View ? this->View->ownerOf(Name) : std::nullopt;
+    for (const member::Target &T : D->Group.Targets) {
+      proto::TargetStatus &Row = *Out.add_targets();
+      Row.set_database(Name.Value);
+      Row.set_target(T.Id.Value);
+      Row.set_address(absl::StrFormat("%s:%d", T.Host, T.Port));
+      Row.set_owner(Owner ? Owner->Value : "");
+      Row.set_state(std::string(stateName(T.Status)));
+      TargetLoad Load = D->Dispatch.load(T.Id);
+      Row.set_connections(Load.Connections);
+      Row.set_executing(Load.Executing);
+      bool IsPrimary = S && S->Primary == T.Id;
+      // Requests that are not bound to a target are shown at the primary.
+      Row.set_queued(IsPrimary ? static_cast<uint32_t>(D->Dispatch.queued()) : Load.Queued);
+      const group::ServerState *Server = nullptr;
+      for (size_t I = 0; S && I < S->Servers.size(); ++I)
+        if (S->Servers[I].Id == T.Id)
+          Server = &S->Servers[I];
+      if (!Server)
+        continue;
+      Row.set_role(std::string(roleName(Server->Is)));
+      Row.set_term(Server->Accepted.Value);
+      Row.set_received(Server->Received);
+      Row.set_applied(Server->Applied);
+      if (Server->CurrentAt != absl::InfinitePast())
+        Row.set_age_us(static_cast<uint64_t>(absl::ToInt64Microseconds(Now - Server->CurrentAt)));
+      if (!Server->Reachable)
+        Row.set_state("unreachable");
+    }
+  }
+  return Out;
+}
+
+} // namespace toucan::pool
--- /dev/null
+++ b/src/pool/execute.cpp
@@ -0,0 +1,318 @@
+// One request on a target connection: start, relay, confirmation, end.
+#include "pool/service.h"
+
+#include "absl/strings/str_format.h"
+
+#include <algorithm>
+#include <cassert>
+
+namespace toucan::pool {
+
+// Carries out what the dispatcher decides until nothing is left to do.
+void PoolService::Impl::pump(DatabaseState &D) {
+  D.PumpAgain = true;
+  if (D.Pumping)
+    return;
+  D.Pumping = true;
+  while (D.PumpAgain) {
+    D.PumpAgain = false;
+    std::vector<Action> Actions = D.Dispatch.next(this->InLoop.now());
+    // Connections are assigned before anything else happens, since the dispatcher counts them as
+    // taken already.
+    for (const Action &A : Actions)
+      if (A.Kind == ActionKind::Start)
+        this->assign(D, A);
+    for (const Action &A : Actions) {
+      if (A.Kind == ActionKind::Start)
+        this->begin(D, A.Request);
+      else if (A.Kind == ActionKind::Open)
+        this->openConnection(D, A.At);
+      else if (Request *R = this->find(A.Request))
+        this->fail(*R, A.Why, Verdict::NotRun);
+    }
+  }
+  D.Pumping = false;
+  this->InLoop.cancel(D.Wake);
+  Instant Wake = D.Dispatch.wakeAt();
+  if (Wake != absl::InfiniteFuture())
+    D.Wake = this->InLoop.at(Wake, [this, &D] { this->pump(D); });
+}
+
+void PoolService::Impl::assign(DatabaseState &D, const Action &A) {
+  Request *R = this->find(A.Request);
+  assert(R && R->At == Stage::Queued);
+  if (A.ReplicaWasBehind)
+    this->Counters.count(Reason::RetryReplicaBehind);
+  Connection *C = nullptr;
+  if (R->Exec.lease() != 0) {
+    C = this->Leases.find(LeaseId(R->Exec.lease()))->second.On;
+  } else {
+    auto It = std::find_if(D.Idle.rbegin(), D.Idle.rend(),
+                           [&](const Connection *C) { return C->options().Target == A.At; });
+    assert(It != D.Idle.rend());
+    C = *It;
+    D.Idle.erase(std::next(It).base());
+  }
+  C->Request = R->Id;
+  R->On = C;
+  R->At = Stage::Running;
+  R->Sent = false;
+  R->Target = A.At;
+  R->AtPrimary = C->AtPrimary || D.Primary == A.At;
+  R->Started = this->InLoop.now();
+}
+
+void PoolService::Impl::begin(DatabaseState &D, TicketId Id) {
+  Request *R = this->find(Id);
+  if (!R || !R->On || R->Abandoned)
+    return;
+  Connection &C = *R->On;
+  if (!C.usable()) {
+    this->drop(C, false, "closed by the target while idle");
+    return;
+  }
+  R->Reply = std::make_unique<Relay>(R->Plan, RelayOptions{.ChunkBytes = this->Options.ChunkBytes,
+                                                           .CreditBytes = this->Options.CreditBytes,
+                                                           .AtPrimary = R->AtPrimary,
+                                                           .LastPosition = C.LastPosition,
+                                                           .Confirmed = D.Confirmed});
+  R->Timer = this->InLoop.at(R->Deadline, [this, Id] { this->onRequestDeadline(Id); });
+  R->Sent = true;
+  C.send(R->Exec.frames());
+}
+
+void PoolService::Impl::cancelAtTarget(Connection &C) {
+  if (C.CancelSent)
+    return;
+  C.CancelSent = true;
+  this->Counters.add("pool_cancels_sent");
+  this->Cancels.send(C.options().Host, C.options().Port, C.processId(), C.secretKey());
+}
+
+void PoolService::Impl::onRequestDeadline(TicketId Id) {
+  Request *R = this->find(Id);
+  if (!R || !R->On || R->Abandoned)
+    return;
+  bool Complete = R->Sent && R->On->written();
+  if (Complete) {
+    this->fail(*R, Reason::RequestDeadline, Verdict::MayHaveRun);
+    return;
+  }
+  // The target never took the whole request: it counts as lost.
+  this->drop(*R->On, false, "the target did not take the request before its deadline");
+}
+
+void PoolService::Impl::onInput(Connection &C) {
+  Request *R = this->find(C.Request);
+  if (!R || !R->On) {
+    this->onIdleInput(C);
+    return;
+  }
+  TicketId Id = R->Id;
+  wire::Frame F;
+  wire::ReadStatus Status = wire::ReadStatus::NeedMore;
+  while ((Status = C.nextFrame(F)) == wire::ReadStatus::Ready) {
+    RelayStep Step = R->Reply->onFrame(F);
+    if (Step == RelayStep::Finished) {
+      this->answered(*R);
+      this->progress(Id);
+      return;
+    }
+    if (Step == RelayStep::Fatal) {
+      // 57P01: the target ended the connection, because it does not serve this term any more.
+      this->drop(C, R->Reply->errorState() == "57P01", R->Reply->fatalText());
+      return;
+    }
+    if (Step == RelayStep::Malformed) {
+      this->drop(C, false, absl::StrFormat("unexpected frame of type %c", F.Type));
+      return;
+    }
+  }
+  if (Status == wire::ReadStatus::NeedMore)
+    this->progress(Id);
+  else
+    this->drop(C, false, "malformed or too large frame");
+}
+
+// A target may report a parameter or a notice between the requests of a transaction. Anything else
+// on a connection without a running request ends it.
+void PoolService::Impl::onIdleInput(Connection &C) {
+  wire::Frame F;
+  wire::ReadStatus Status = wire::ReadStatus::NeedMore;
+  while ((Status = C.nextFrame(F)) == wire::ReadStatus::Ready)
+    if (C.Lease.Value == 0 || (F.Type != 'S' && F.Type != 'N'))
+      break;
+  if (Status != wire::ReadStatus::NeedMore)
+    this->drop(C, false, "unexpected input while idle");
+}
+
+// Sends what may be sent, asks for the confirmations that are needed, and ends the request when
+// nothing is left.
+void PoolService::Impl::progress(TicketId Id) {
+  Request *R = this->find(Id);
+  if (!R || !R->Reply)
+    return;
+  if (!R->Abandoned) {
+    this->confirm(*R);
+    R = this->find(Id); // the callback may have ended it
+    if (!R || !R->Reply)
+      return;
+  }
+  this->sendChunks(*R);
+  if (R->Reply->complete() || (R->Abandoned && !R->On)) {
+    this->finish(*R);
+    return;
+  }
+  if (R->On)
+    R->On->setReading(R->Abandoned || R->Reply->wantsInput());
+}
+
+void PoolService::Impl::confirm(Request &R) {
+  TicketId Id = R.Id;
+  DatabaseState &D = *R.Database;
+  while (std::optional<LogPosition> P = R.Reply->takeUnconfirmed()) {
+    if (*P <= D.Confirmed) {
+      R.Reply->confirmed();
+      continue;
+    }
+    Instant Deadline = std::min(R.Deadline, this->InLoop.now() + this->Options.ConfirmTimeout);
+    this->Groups.confirm(
+        D.Group.Name, *P, Deadline,
+        [Weak = std::weak_ptr(this->Alive), Id, P = *P](group::ConfirmResult Result) {
+          if (auto Self = Weak.lock())
+            (*Self)->onConfirmed(Id, P, Result);
+        });
+    return;
+  }
+}
+
+void PoolService::Impl::onConfirmed(TicketId Id, LogPosition Position,
+                                    group::ConfirmResult Result) {
+  Request *R = this->find(Id);
+  if (R && Result == group::ConfirmResult::Confirmed)
+    R->Database->Confirmed = std::max(R->Database->Confirmed, Position);
+  if (!R || R->Abandoned || !R->Reply)
+    return;
+  if (Result == group::ConfirmResult::Confirmed) {
+    R->Reply->confirmed();
+    this->progress(Id);
+    return;
+  }
+  bool Again = R->At == Stage::Confirming && R->repeatable() && R->Lease == 0 &&
+               R->Reply->chunksSent() == 0 && this->InLoop.now() < R->Deadline;
+  if (Again && this->Budget.take()) {
+    this->Counters.count(Reason::RetryTargetLost);
+    this->runAgain(*R);
+    this->pump(*R->Database);
+    return;
+  }
+  Reason Why =
+      Result == group::ConfirmResult::TermChanged ? Reason::TermChanged : Reason::ConfirmDeadline;
+  this->fail(*R, Why, Verdict::MayHaveRun);
+}
+
+void PoolService::Impl::sendChunks(Request &R) {
+  while (std::optional<std::string> Chunk = R.Reply->takeChunk()) {
+    if (R.Abandoned) {
+      R.Reply->credit(Chunk->size());
+      continue;
+    }
+    proto::Envelope E;
+    proto::Chunk &M = *E.mutable_chunk();
+    M.set_request_id(R.Exec.request_id());
+    M.set_sequence(R.Reply->chunksSent() - 1);
+    M.set_frames(std::move(*Chunk));
+    this->Send(R.From, std::move(E));
+  }
+}
+
+// The target has answered: its connection is free, kept for the transaction, or closed.
+void PoolService::Impl::answered(Request &R) {
+  Connection &C = *R.On;
+  DatabaseState &D = *R.Database;
+  this->InLoop.cancel(R.Timer);
+  R.On = nullptr;
+  R.At = Stage::Confirming;
+  C.Request = TicketId();
+  C.LastPosition = R.Reply->position();
+  D.Dispatch.observe(R.Target, C.LastPosition);
+  D.Dispatch.ended(R.Target, R.workClass(), this->InLoop.now() - R.Started);
+  bool Clean = C.unread() == 0 && C.written();
+  if (R.Reply->status() != 'I' && Clean && !R.Abandoned) {
+    this->keepLease(R, C);
+  } else if (R.Reply->status() == 'I' && Clean && !C.CancelSent) {
+    this->release(C, D);
+  } else {
+    this->drop(C, false, C.CancelSent ? "a cancel was sent" : "the connection is not clean");
+    return;
+  }
+  this->pump(D);
+}
+
+void PoolService::Impl::finish(Request &R) {
+  if (R.Abandoned) {
+    this->Requests.erase(R.Id);
+    return;
+  }
+  proto::Envelope E;
+  proto::Done &D = *E.mutable_done();
+  D.set_request_id(R.Exec.request_id());
+  D.set_verdict(proto::RAN);
+  D.set_tx_status(static_cast<uint32_t>(R.Reply->status()));
+  D.set_lease(R.Lease);
+  D.mutable_observed()->set_term(R.Reply->position().InTerm.Value);
+  D.mutable_observed()->set_position(R.Reply->position().Position);
+  D.set_wrote(R.AtPrimary && !R.read() && R.Reply->sawNewPosition());
+  D.set_target(R.Target.Value);
+  D.set_by_replica(!R.AtPrimary);
+  D.set_chunks(R.Reply->chunksSent());
+  this->Counters.add(!R.read()     ? "pool_served_writes"
+                     : R.AtPrimary ? "pool_served_reads_primary"
+                                   : "pool_served_reads_replica");
+  this->Counters.latency(R.workClass() == rules::WorkClass::Long ? "long" : "short",
+                         this->InLoop.now() - R.Arrived);
+  InstanceId To = R.From;
+  this->erase(R);
+  this->Send(To, std::move(E));
+}
+
+// Decides what becomes of a request whose connection has ended.
+void PoolService::Impl::onConnectionEnd(Request &R, bool TermOver, bool Written,
+                                        const std::string &Why) {
+  DatabaseState &D = *R.Database;
+  R.On = nullptr;
+  this->InLoop.cancel(R.Timer);
+  if (R.At == Stage::Queued) {
+    D.Dispatch.remove(R.Id);
+    this->fail(R, Reason::LeaseUnknown, Verdict::NotRun, Why);
+    return;
+  }
+  D.Dispatch.ended(R.Target, R.workClass(), std::nullopt);
+  if (R.Abandoned) {
+    this->Requests.erase(R.Id);
+    return;
+  }
+  LossOutcome Outcome = outcomeOfLoss({.Written = R.Sent && Written,
+                                       .Relayed = R.Reply && R.Reply->chunksSent() > 0,
+                                       .Read = R.repeatable(),
+                                       .InLease = R.Exec.lease() != 0,
+                                       .TermOver = TermOver});
+  bool Again = Outcome.Step == LossStep::Requeue;
+  if (Outcome.Step == LossStep::Retry && this->Budget.take()) {
+    this->Counters.count(Reason::RetryTargetLost);
+    Again = true;
+  }
+  if (Again)
+    this->runAgain(R);
+  else
+    this->fail(R, Outcome.Why, Outcome.Outcome, Why);
+}
+
+void PoolService::Impl::runAgain(Request &R) {
+  R.At = Stage::Queued;
+  R.Reply.reset();
+  R.Sent = false;
+  R.Database->Dispatch.requeue(this->ticketOf(R));
+}
+
+} // namespace toucan::pool
--- /dev/null
+++ b/src/pool/outcome.cpp
@@ -0,0 +1,30 @@
+#include "pool/outcome.h"
+
+#include <algorithm>
+
+namespace toucan::pool {
+
+LossOutcome outcomeOfLoss(const LossFacts &Facts) {
+  if (!Facts.Written && Facts.InLease)
+    return {.Why = Reason::LeaseUnknown, .Outcome = Verdict::NotRun};
+  if (!Facts.Written)
+    return {
+        .Step = LossStep::Requeue, .Why = Reason::TargetUnreachable, .Outcome = Verdict::NotRun};
+  Reason Lost = Facts.TermOver ? Reason::TermChanged : Reason::TargetLost;
+  if (!Facts.Read || Facts.InLease)
+    return {.Why = Lost};
+  if (Facts.Relayed)
+    return {.Why = Reason::AnswerIncomplete};
+  return {.Step = LossStep::Retry, .Why = Lost};
+}
+
+void RetryBudget::onRequest() { this->Left = std::min(Most, this->Left + Share); }
+
+bool RetryBudget::take() {
+  if (this->Left < 1)
+    return false;
+  this->Left -= 1;
+  return true;
+}
+
+} // namespace toucan::pool
--- /dev/null
+++ b/src/pool/pool.cpp
@@ -0,0 +1,433 @@
+// Messages, admission and the end of requests.
+#include "pool/service.h"
+
+#include "absl/strings/str_format.h"
+
+namespace toucan::pool {
+
+namespace {
+
+constexpr absl::Duration MaintenanceInterval = absl::Seconds(1);
+// Pause before the primary's position is asked for again after a failure, e.g. during a change of
+// primary.
+constexpr absl::Duration VerifyPause = absl::Milliseconds(100);
+// How long a target may take to answer after a cancel before the connection is closed.
+constexpr absl::Duration AbandonGrace = absl::Seconds(1);
+
+proto::Envelope doneEnvelope(uint64_t RequestId, Verdict Outcome, Reason Why) {
+  proto::Envelope E;
+  proto::Done &D = *E.mutable_done();
+  D.set_request_id(RequestId);
+  D.set_verdict(static_cast<proto::Verdict>(Outcome));
+  D.set_reason(static_cast<uint32_t>(Why));
+  D.set_tx_status('I');
+  return E;
+}
+
+// Bits of a lease id that differ between incarnations of a daemon, so that a lease of an earlier
+// one is not mistaken for a present one.
+uint64_t leaseBase(uint64_t Seed) { return (Seed * 0x9e3779b97f4a7c15U) & 0x7fffffff00000000U; }
+
+} // namespace
+
+PoolService::Impl::Impl(Loop &InLoop, PoolOptions Options, member::SendFn Send,
+                        group::Watcher &Groups, Metrics &Counters)
+    : InLoop(InLoop), Options(std::move(Options)), Send(std::move(Send)), Groups(Groups),
+      Counters(Counters), Cancels(InLoop), NextLease(leaseBase(this->Options.Seed) + 1),
+      Alive(std::make_shared<Impl *>(this)) {
+  this->Maintenance = InLoop.at(InLoop.now() + MaintenanceInterval, [this] { this->maintain(); });
+}
+
+PoolService::Impl::~Impl() {
+  this->InLoop.cancel(this->Maintenance);
+  this->InLoop.cancel(this->DrainTimer);
+  for (auto &[Id, R] : this->Requests)
+    this->InLoop.cancel(R->Timer);
+  for (auto &[Id, L] : this->Leases)
+    this->InLoop.cancel(L.Timer);
+  for (auto &[Name, D] : this->Databases)
+    this->InLoop.cancel(D->Wake);
+}
+
+DatabaseState *PoolService::Impl::database(const DatabaseName &Name) {
+  auto It = this->Databases.find(Name);
+  if (It != this->Databases.end())
+    return It->second.get();
+  const member::Group *G = this->View ? this->View->findGroup(Name) : nullptr;
+  if (!G)
+    return nullptr;
+  DispatchOptions Dispatch{.QueueLimit = this->Options.QueueLimit,
+                           .FloorWait = this->Options.FloorWait,
+                           .IdleConnection = this->Options.IdleConnection,
+                           .Seed = this->Options.Seed};
+  auto D = std::make_unique<DatabaseState>(*G, Dispatch);
+  D->Dispatch.setGroup(*G);
+  DatabaseState *Out = D.get();
+  this->Databases[Name] = std::move(D);
+  if (const group::GroupState *S = this->Groups.state(Name))
+    this->onGroup(*S);
+  return Out;
+}
+
+void PoolService::Impl::onView(member::ViewPtr New) {
+  this->View = std::move(New);
+  for (auto &[Name, D] : this->Databases) {
+    member::Group Gone{.Name = Name};
+    const member::Group *G = this->View->findGroup(Name);
+    D->Group = G ? *G : Gone;
+    D->Dispatch.setGroup(D->Group);
+    this->pump(*D);
+  }
+}
+
+Request *PoolService::Impl::find(const InstanceId &From, uint64_t RequestId) {
+  auto It = this->ByCaller.find({From, RequestId});
+  return It == this->ByCaller.end() ? nullptr : this->find(It->second);
+}
+
+Request *PoolService::Impl::find(TicketId Id) {
+  auto It = this->Requests.find(Id);
+  return It == this->Requests.end() ? nullptr : It->second.get();
+}
+
+void PoolService::Impl::onEnvelope(const InstanceId &From, proto::Envelope Message) {
+  switch (Message.body_case()) {
+  case proto::Envelope::kExec:
+    this->onExec(From, Message.incarnation(), std::move(*Message.mutable_exec()));
+    return;
+  case proto::Envelope::kCredit:
+    this->onCredit(From, Message.credit());
+    return;
+  case proto::Envelope::kCancel:
+    this->onCancel(From, Message.cancel().request_id());
+    return;
+  case proto::Envelope::kRelease:
+    this->onRelease(From, LeaseId(Message.release().lease()));
+    return;
+  default:
+    LogEvent(LogLevel::Warn, "pool_unexpected_message").kv("from", From.Value);
+  }
+}
+
+// Decides whether a request is refused before it is looked at more closely.
+Reason PoolService::Impl::admissionProblem(const InstanceId &From,
+                                           const proto::ExecRequest &Exec) const {
+  if (Exec.lease() != 0) {
+    auto It = this->Leases.find(LeaseId(Exec.lease()));
+    if (It == this->Leases.end() || It->second.Holder != From ||
+        It->second.Session != Exec.session_id())
+      return Reason::LeaseUnknown;
+    return It->second.On->Request.Value != 0 ? Reason::ProtocolViolation : Reason::None;
+  }
+  if (this->Draining)
+    return Reason::Draining;
+  if (!this->View || !this->View->RulesKnown)
+    return Reason::RulesUnknown;
+  if (!this->View->findGroup(DatabaseName(Exec.database())))
+    return Reason::UnknownDatabase;
+  return Reason::None;
+}
+
+void PoolService::Impl::onExec(const InstanceId &From, uint64_t Incarnation,
+                               proto::ExecRequest Exec) {
+  if (Request *Old = this->find(From, Exec.request_id())) {
+    if (Old->Incarnation == Incarnation) {
+      LogEvent(LogLevel::Warn, "pool_duplicate_request")
+          .kv("from", From.Value)
+          .kv("request", Exec.request_id());
+      return;
+    }
+    this->abandon(*Old); // of an earlier incarnation of the sender
+  }
+  this->Counters.add("pool_requests");
+  this->Budget.onRequest();
+  Reason Problem = this->admissionProblem(From, Exec);
+  std::set<uint32_t> Hidden(Exec.hidden().begin(), Exec.hidden().end());
+  auto Plan = planReplies(Exec.frames(), Hidden);
+  if (Problem == Reason::None && !Plan)
+    Problem = Reason::ProtocolViolation;
+  if (Problem != Reason::None) {
+    this->refuse(From, Exec, Problem);
+    return;
+  }
+  Instant Now = this->InLoop.now();
+  auto New = std::make_unique<Request>();
+  Request &R = *New;
+  R.Id = TicketId(this->NextTicket++);
+  R.From = From;
+  R.Incarnation = Incarnation;
+  R.Plan = std::move(*Plan);
+  R.Arrived = Now;
+  R.Deadline = Now + absl::Microseconds(Exec.budget_us());
+  R.Database = this->database(DatabaseName(Exec.database()));
+  R.Exec = std::move(Exec);
+  this->ByCaller[{From, R.Exec.request_id()}] = R.Id;
+  this->Requests[R.Id] = std::move(New);
+  if (R.Exec.verify_floor() && R.Exec.lease() == 0)
+    this->verify(R);
+  else
+    this->enqueue(R);
+}
+
+void PoolService::Impl::verify(Request &R) {
+  R.At = Stage::Verifying;
+  this->Groups.verify(R.Database->Group.Name, R.Deadline,
+                      [Weak = std::weak_ptr(this->Alive), Id = R.Id](std::optional<LogPosition> P) {
+                        if (auto Self = Weak.lock())
+                          (*Self)->onVerified(Id, P);
+                      });
+}
+
+// Takes the verified position as the floor; without one, asks again until the deadline.
+void PoolService::Impl::onVerified(TicketId Id, std::optional<LogPosition> Floor) {
+  Request *R = this->find(Id);
+  if (!R || R->At != Stage::Verifying)
+    return;
+  if (Floor) {
+    R->Exec.mutable_floor()->set_term(Floor->InTerm.Value);
+    R->Exec.mutable_floor()->set_position(Floor->Position);
+    this->enqueue(*R);
+    return;
+  }
+  Instant Again = this->InLoop.now() + VerifyPause;
+  if (Again >= R->Deadline) {
+    this->fail(*R, Reason::FloorUnreachable, Verdict::NotRun);
+    return;
+  }
+  R->Timer = this->InLoop.at(Again, [this, Id] {
+    if (Request *R = this->find(Id))
+      this->verify(*R);
+  });
+}
+
+Ticket PoolService::Impl::ticketOf(const Request &R) const {
+  Ticket T{.Id = R.Id,
+           .Class = R.workClass(),
+           .FairnessKey = R.Exec.fairness_key(),
+           .ReplicaAllowed = R.read() && R.Exec.max_age_us() > 0 && R.Exec.lease() == 0,
+           .MaxAge = absl::Microseconds(R.Exec.max_age_us()),
+           .Floor = {Term(R.Exec.floor().term()), R.Exec.floor().position()},
+           .Arrived = R.Arrived,
+           .Deadline = R.Deadline};
+  if (R.Exec.lease() != 0)
+    T.Pinned = this->Leases.find(LeaseId(R.Exec.lease()))->second.On->options().Target;
+  return T;
+}
+
+void PoolService::Impl::enqueue(Request &R) {
+  if (R.Exec.lease() != 0) {
+    auto It = this->Leases.find(LeaseId(R.Exec.lease()));
+    this->InLoop.cancel(It->second.Timer);
+    It->second.On->Request = R.Id;
+  }
+  R.At = Stage::Queued;
+  DatabaseState &D = *R.Database;
+  if (auto Refused = D.Dispatch.admit(this->ticketOf(R), this->InLoop.now())) {
+    this->fail(R, Refused->Why, Verdict::NotRun, "", Refused->RetryAfter);
+    return;
+  }
+  this->pump(D);
+}
+
+// Names a transaction that is still open in the answer to a request of its holder.
+void PoolService::Impl::describeLease(uint64_t Id, const InstanceId &Holder, proto::Done &D) const {
+  auto It = this->Leases.find(LeaseId(Id));
+  if (It == this->Leases.end() || It->second.Holder != Holder)
+    return;
+  D.set_lease(Id);
+  D.set_tx_status(static_cast<uint32_t>(It->second.Status));
+}
+
+void PoolService::Impl::refuse(const InstanceId &To, const proto::ExecRequest &Exec, Reason Why) {
+  proto::Envelope E = doneEnvelope(Exec.request_id(), Verdict::NotRun, Why);
+  this->describeLease(Exec.lease(), To, *E.mutable_done());
+  this->Counters.count(Why);
+  LogEvent(LogLevel::Info, "pool_request_refused")
+      .kv("database", Exec.database())
+      .kv("from", To.Value)
+      .kv("request", Exec.request_id())
+      .kv("reason", reasonName(Why));
+  this->Send(To, std::move(E));
+}
+
+void PoolService::Impl::fail(Request &R, Reason Why, Verdict Outcome, std::string Detail,
+                             absl::Duration RetryAfter) {
+  proto::Envelope E = doneEnvelope(R.Exec.request_id(), Outcome, Why);
+  proto::Done &D = *E.mutable_done();
+  D.set_retry_after_us(static_cast<uint64_t>(absl::ToInt64Microseconds(RetryAfter)));
+  D.set_target(R.Target.Value);
+  D.set_chunks(R.Reply ? R.Reply->chunksSent() : 0);
+  // A request that is refused before it runs does not end its transaction.
+  uint64_t Open = Outcome == Verdict::NotRun ? R.Exec.lease() : R.Lease;
+  this->describeLease(Open, R.From, D);
+  this->Counters.count(Why);
+  LogEvent(Outcome == Verdict::NotRun ? LogLevel::Info : LogLevel::Warn, "pool_request_failed")
+      .kv("database", R.Exec.database())
+      .kv("from", R.From.Value)
+      .kv("request", R.Exec.request_id())
+      .kv("reason", reasonName(Why))
+      .kv("verdict", verdictName(Outcome))
+      .kv("target", R.Target.Value)
+      .kv("detail", Detail);
+  D.set_detail(std::move(Detail));
+  InstanceId To = R.From;
+  this->erase(R);
+  this->Send(To, std::move(E));
+}
+
+// Forgets a request. One that still has a connection is cancelled there, and its answer is read
+// and dropped. One that waits in a transaction leaves the transaction open.
+void PoolService::Impl::erase(Request &R) {
+  this->ByCaller.erase({R.From, R.Exec.request_id()});
+  this->InLoop.cancel(R.Timer);
+  if (R.On) {
+    R.Abandoned = true;
+    this->cancelAtTarget(*R.On);
+    R.Timer = this->InLoop.at(this->InLoop.now() + AbandonGrace, [this, Id = R.Id] {
+      Request *R = this->find(Id);
+      if (R && R->On)
+        this->drop(*R->On, false, "no answer to a cancel");
+    });
+    this->progress(R.Id);
+    return;
+  }
+  auto It = this->Leases.find(LeaseId(R.Exec.lease()));
+  if (It != this->Leases.end() && It->second.On->Request == R.Id)
+    this->waitInLease(It->second);
+  this->Requests.erase(R.Id);
+}
+
+void PoolService::Impl::abandon(Request &R) {
+  if (R.At == Stage::Queued)
+    R.Database->Dispatch.remove(R.Id);
+  this->erase(R);
+}
+
+void PoolService::Impl::onCredit(const InstanceId &From, const proto::Credit &Message) {
+  Request *R = this->find(From, Message.request_id());
+  if (!R || !R->Reply)
+    return;
+  R->Reply->credit(Message.bytes());
+  this->progress(R->Id);
+}
+
+// A waiting request has not run; a running one is cancelled at the target, whose answer still
+// comes.
+void PoolService::Impl::onCancel(const InstanceId &From, uint64_t RequestId) {
+  Request *R = this->find(From, RequestId);
+  if (!R)
+    return;
+  switch (R->At) {
+  case Stage::Queued:
+    R->Database->Dispatch.remove(R->Id);
+    [[fallthrough]];
+  case Stage::Verifying:
+    this->fail(*R, Reason::Canceled, Verdict::NotRun);
+    return;
+  case Stage::Running:
+    this->cancelAtTarget(*R->On);
+    return;
+  case Stage::Confirming:
+    // The caller does not take the rest of the answer.
+    if (!R->Reply->unconfirmed())
+      this->fail(*R, Reason::AnswerIncomplete, Verdict::MayHaveRun, "canceled by the caller");
+    return;
+  }
+}
+
+void PoolService::Impl::onPeerLost(const InstanceId &Peer) {
+  std::vector<TicketId> Lost;
+  for (auto &[Id, R] : this->Requests)
+    if (R->From == Peer && !R->Abandoned)
+      Lost.push_back(Id);
+  for (TicketId Id : Lost)
+    if (Request *R = this->find(Id))
+      this->abandon(*R);
+  std::vector<LeaseId> Ended;
+  for (auto &[Id, L] : this->Leases)
+    if (L.Holder == Peer)
+      Ended.push_back(Id);
+  for (LeaseId Id : Ended)
+    this->endLease(Id);
+  if (!Lost.empty() || !Ended.empty())
+    LogEvent(LogLevel::Warn, "pool_peer_lost")
+        .kv("peer", Peer.Value)
+        .kv("requests", Lost.size())
+        .kv("leases", Ended.size());
+}
+
+void PoolService::Impl::beginDrain(Instant Deadline) {
+  this->Draining = true;
+  this->InLoop.cancel(this->DrainTimer);
+  this->DrainTimer = this->InLoop.at(Deadline, [this] { this->endDrain(); });
+}
+
+// Ends what is left at the drain deadline: waiting requests have not run, transactions are rolled
+// back, and running requests have an unknown outcome.
+void PoolService::Impl::endDrain() {
+  std::vector<TicketId> Left;
+  for (auto &[Id, R] : this->Requests)
+    if (!R->Abandoned)
+      Left.push_back(Id);
+  for (TicketId Id : Left) {
+    Request *R = this->find(Id);
+    if (!R)
+      continue;
+    if (R->At == Stage::Running || R->At == Stage::Confirming) {
+      this->fail(*R, Reason::RequestDeadline, Verdict::MayHaveRun, "shutdown");
+      continue;
+    }
+    if (R->At == Stage::Queued)
+      R->Database->Dispatch.remove(Id);
+    this->fail(*R, Reason::Draining, Verdict::NotRun);
+  }
+  while (!this->Leases.empty())
+    this->endLease(this->Leases.begin()->first);
+}
+
+// Closes connections that were not used for a while.
+void PoolService::Impl::maintain() {
+  Instant Now = this->InLoop.now();
+  for (auto &[Name, D] : this->Databases) {
+    std::vector<Connection *> Unused;
+    for (Connection *C : D->Idle)
+      if (Now - C->IdleSince > this->Options.IdleConnection ||
+          D->Dispatch.leaving(C->options().Target))
+        Unused.push_back(C);
+    for (Connection *C : Unused)
+      if (D->Dispatch.surplus(C->options().Target, Now))
+        this->drop(*C, false, "idle");
+    this->pump(*D);
+  }
+  this->Maintenance = this->InLoop.at(Now + MaintenanceInterval, [this] { this->maintain(); });
+}
+
+PoolService::PoolService(Loop &InLoop, PoolOptions Options, member::SendFn Send,
+                         group::Watcher &Groups, Metrics &Counters)
+    : State(std::make_unique<Impl>(InLoop, std::move(Options), std::move(Send), Groups, Counters)) {
+}
+
+PoolService::~PoolService() = default;
+
+void PoolService::onView(member::ViewPtr View) { this->State->onView(std::move(View)); }
+
+void PoolService::onEnvelope(const InstanceId &From, proto::Envelope Message) {
+  this->State->onEnvelope(From, std::move(Message));
+}
+
+void PoolService::onGroup(const group::GroupState &S) {
+  if (this->State->database(S.Database))
+    this->State->onGroup(S);
+}
+
+void PoolService::onPeerLost(const InstanceId &Peer) { this->State->onPeerLost(Peer); }
+
+void PoolService::beginDrain(Instant Deadline) { this->State->beginDrain(Deadline); }
+
+bool PoolService::drained() const {
+  return this->State->Requests.empty() && this->State->Leases.empty();
+}
+
+proto::TargetsReply PoolService::targets() const { return this->State->targets(); }
+
+} // namespace toucan::pool
--- /dev/null
+++ b/src/pool/pool_test.cpp
@@ -0,0 +1,405 @@
+// The shell against a fake target and a fake watcher.
+#include "pool/pool.h"
+
+#include "pool/fake_target_test.h"
+
+#include <doctest/doctest.h>
+
+#include "absl/synchronization/notification.h"
+
+#include <algorithm>
+#include <memory>
+#include <thread>
+
+using namespace toucan;
+using namespace toucan::pool;
+
+namespace {
+
+constexpr absl::Duration TestTimeout = absl::Seconds(5);
+
+class FakeWatcher final : public group::Watcher {
+public:
+  group::GroupState Group;
+  std::function<group::ConfirmResult(LogPosition)> OnConfirm = [](LogPosition) {
+    return group::ConfirmResult::Confirmed;
+  };
+  std::vector<LogPosition> Asked;
+  std::vector<std::function<void(group::ConfirmResult)>> Pending; // when Delay is set
+  bool Delay = false;
+  std::vector<std::optional<LogPosition>> Verified; // answers of verify(), first one first
+
+  const group::GroupState *state(const DatabaseName &) const override { return &this->Group; }
+  void confirm(const DatabaseName &, LogPosition At, Instant,
+               std::function<void(group::ConfirmResult)> Then) override {
+    this->Asked.push_back(At);
+    if (this->Delay)
+      this->Pending.push_back(std::move(Then));
+    else
+      Then(this->OnConfirm(At));
+  }
+  void verify(const DatabaseName &, Instant,
+              std::function<void(std::optional<LogPosition>)> Then) override {
+    std::optional<LogPosition> Answer = this->Verified.front();
+    this->Verified.erase(this->Verified.begin());
+    Then(Answer);
+  }
+};
+
+std::string row() { return wire::Writer().begin('D').int16(0).end().take(); }
+
+std::string answer(std::string_view Tag) {
+  return wire::commandComplete(Tag) + wire::readyForQuery('I');
+}
+
+std::string committed(uint64_t Position) {
+  return wire::parameterStatus("group_position", "5/" + std::to_string(Position)) +
+         answer("INSERT 0 1");
+}
+
+// A group with the primary p and the replica r at term 5.
+struct Rig {
+  explicit Rig(
+      FakeTarget::Handler OnPrimary,
+      FakeTarget::Handler OnReplica = [](auto &, int, const auto &) { return answer("SELECT 0"); })
+      : Primary(InLoop, std::move(OnPrimary)), Replica(InLoop, std::move(OnReplica)),
+        Watch(std::make_unique<FakeWatcher>()) {
+    auto V = std::make_shared<member::View>();
+    V->RulesKnown = true;
+    V->Groups.push_back(
+        {.Name = DatabaseName("db"),
+         .Targets = {{.Id = TargetId("p"), .Host = "127.0.0.1", .Port = Primary.Port},
+                     {.Id = TargetId("r"), .Host = "127.0.0.1", .Port = Replica.Port}},
+         .SlotsPerTarget = 2,
+         .ConnectionsPerTarget = 4});
+    this->Watch->Group = {
+        .Database = DatabaseName("db"), .Current = Term(5), .Primary = TargetId("p")};
+    this->Watch->Group.Servers = {
+        {.Id = TargetId("p"), .Reachable = true, .Is = group::Role::Primary, .Accepted = Term(5)},
+        {.Id = TargetId("r"),
+         .Reachable = true,
+         .Is = group::Role::Replica,
+         .Accepted = Term(5),
+         .Applied = 10,
+         .CurrentAt = InLoop.now()}};
+    this->Pool = std::make_unique<PoolService>(
+        InLoop, PoolOptions{.CreditBytes = 1000},
+        [this](const InstanceId &, const proto::Envelope &E) { return this->receive(E); },
+        *this->Watch, this->Counters);
+    this->Pool->onView(V);
+    this->Thread = std::thread([this] { this->InLoop.run(); });
+  }
+
+  ~Rig() {
+    this->InLoop.stop();
+    this->Thread.join();
+  }
+
+  // Runs Fn in the loop and waits for its end.
+  void in(const std::function<void()> &Fn) {
+    absl::Notification Ended;
+    this->InLoop.post([&] {
+      Fn();
+      Ended.Notify();
+    });
+    Ended.WaitForNotification();
+  }
+  // Waits until Holds is true in the loop; false at the timeout.
+  bool until(const std::function<bool()> &Holds) {
+    Instant End = monotonicNow() + TestTimeout;
+    bool Held = false;
+    while (!Held && monotonicNow() < End) {
+      this->in([&] { Held = Holds(); });
+      if (!Held)
+        absl::SleepFor(absl::Milliseconds(1));
+    }
+    return Held;
+  }
+  bool receive(const proto::Envelope &E) {
+    if (E.has_chunk())
+      this->Frames[E.chunk().request_id()] += E.chunk().frames();
+    if (E.has_done())
+      this->Dones[E.done().request_id()] = E.done();
+    return true;
+  }
+  void send(const std::function<void(proto::Envelope &)> &Fill) {
+    proto::Envelope E;
+    Fill(E);
+    this->in([&] { this->Pool->onEnvelope(InstanceId("entry"), E); });
+  }
+  void exec(uint64_t Id, proto::RequestKind Kind, const std::string &Sql, uint64_t Lease = 0,
+            int64_t MaxAgeUs = 0, bool Verify = false) {
+    this->send([&](proto::Envelope &E) {
+      proto::ExecRequest &R = *E.mutable_exec();
+      R.set_request_id(Id);
+      R.set_session_id(1);
+      R.set_database("db");
+      R.set_kind(Kind);
+      R.set_frames(wire::query(Sql));
+      R.set_budget_us(3'000'000);
+      R.set_lease(Lease);
+      R.set_max_age_us(MaxAgeUs);
+      R.set_verify_floor(Verify);
+    });
+  }
+  // Waits for the end of a request.
+  proto::Done done(uint64_t Id) {
+    REQUIRE(this->until([&] { return this->Dones.contains(Id); }));
+    proto::Done D;
+    this->in([&] { D = this->Dones[Id]; });
+    return D;
+  }
+  proto::Done run(uint64_t Id, proto::RequestKind Kind, const std::string &Sql, uint64_t Lease = 0,
+                  int64_t MaxAgeUs = 0, bool Verify = false) {
+    this->exec(Id, Kind, Sql, Lease, MaxAgeUs, Verify);
+    return this->done(Id);
+  }
+  bool reached(const std::string &Sql) {
+    return this->until([&] {
+      const auto &Q = this->Primary.Queries;
+      return std::find(Q.begin(), Q.end(), Sql) != Q.end();
+    });
+  }
+
+  Loop InLoop;
+  FakeTarget Primary;
+  FakeTarget Replica;
+  std::unique_ptr<FakeWatcher> Watch;
+  Metrics Counters;
+  std::map<uint64_t, std::string> Frames;
+  std::map<uint64_t, proto::Done> Dones;
+  std::unique_ptr<PoolService> Pool;
+  std::thread Thread;
+};
+
+bool is(const proto::Done &D, proto::Verdict V, Reason R) {
+  return D.verdict() == V && D.reason() == static_cast<uint32_t>(R);
+}
+
+// Answers each query by its text.
+std::string byText(FakeTarget &, int, const wire::Frame &F) {
+  std::string Sql = wire::parseQuery(F.Body).value_or("");
+  if (Sql == "begin")
+    return wire::commandComplete("BEGIN") + wire::readyForQuery('T');
+  if (Sql == "insert")
+    return committed(11);
+  if (Sql == "hang")
+    return "";
+  return row() + answer(Sql);
+}
+
+} // namespace
+
+// Guards against a lost acknowledgement, a relayed ReadyForQuery and a connection for each request.
+TEST_CASE("a write is answered once a majority has it, and its connection is reused") {
+  Rig T(byText);
+  proto::Done D = T.run(1, proto::WRITE, "insert");
+  CHECK(is(D, proto::RAN, Reason::None));
+  CHECK(D.wrote());
+  CHECK(D.observed().position() == 11);
+  CHECK(D.tx_status() == 'I');
+  T.run(2, proto::READ, "second");
+  T.in([&] {
+    CHECK(T.Frames[1] == wire::commandComplete("INSERT 0 1"));
+    CHECK(T.Frames[2] == row() + wire::commandComplete("second"));
+    CHECK(T.Watch->Asked == std::vector<LogPosition>{{Term(5), 11}});
+    CHECK(T.Primary.Options[0] == "-c group_term=5");
+  });
+}
+
+// Guards against an acknowledgement before the confirmation, and a connection blocked meanwhile.
+TEST_CASE("the answer of a write waits for its confirmation while the connection is free") {
+  Rig T(byText);
+  T.Watch->Delay = true;
+  T.exec(1, proto::WRITE, "insert");
+  CHECK(T.until([&] { return !T.Watch->Pending.empty(); }));
+  T.exec(2, proto::READ, "other");
+  CHECK(T.reached("other"));
+  T.in([&] {
+    CHECK(T.Frames[1].empty());
+    CHECK(!T.Dones.contains(1));
+    CHECK(T.Pool->targets().targets(0).executing() == 0);
+    T.Watch->Pending[0](group::ConfirmResult::Confirmed);
+    CHECK(T.Dones.contains(1));
+  });
+}
+
+// Guards against a write that is acknowledged although its primary was replaced.
+TEST_CASE("a write whose confirmation fails may have run") {
+  Rig T(byText);
+  T.Watch->OnConfirm = [](LogPosition) { return group::ConfirmResult::TermChanged; };
+  CHECK(is(T.run(1, proto::WRITE, "insert"), proto::MAY_HAVE_RUN, Reason::TermChanged));
+  T.in([&] { CHECK(T.Frames[1].empty()); });
+}
+
+// Guards against an unknown outcome for a write that was never sent.
+TEST_CASE("a connection lost before the request is sent does not harm the request") {
+  Rig T(byText);
+  T.run(1, proto::READ, "first");
+  T.in([&] { T.Primary.endAll(); });
+  CHECK(is(T.run(2, proto::WRITE, "insert"), proto::RAN, Reason::None));
+}
+
+// Guards against a request that counts as not run and is completed by the Terminate frame.
+TEST_CASE("a request that was partly written is tried again and runs once") {
+  Rig T([](auto &, int, const auto &) { return answer("INSERT 0 1"); });
+  T.run(1, proto::READ, "first");
+  T.in([&] { T.Primary.Deaf = true; });
+  std::string Long = "insert " + std::string(8 << 20, 'x');
+  T.exec(2, proto::WRITE, Long);
+  absl::SleepFor(absl::Milliseconds(50));
+  T.in([&] {
+    T.Primary.Deaf = false;
+    T.Primary.endAll();
+  });
+  CHECK(is(T.done(2), proto::RAN, Reason::None));
+  T.in([&] { CHECK(T.Primary.Queries == std::vector<std::string>{"first", Long}); });
+}
+
+// Guards against a write that is sent twice, and a read that fails although it may be repeated.
+TEST_CASE("a connection lost after the request is sent") {
+  int Left = 1;
+  Rig T([&](FakeTarget &Self, int Fd, const wire::Frame &F) {
+    if (Left-- <= 0)
+      return byText(Self, Fd, F);
+    Self.end(Fd);
+    return std::string();
+  });
+  SUBCASE("a write may have run") {
+    CHECK(is(T.run(1, proto::WRITE, "insert"), proto::MAY_HAVE_RUN, Reason::TargetLost));
+    T.in([&] { CHECK(T.Primary.Queries.size() == 1); });
+  }
+  SUBCASE("a read is tried again") {
+    CHECK(is(T.run(1, proto::READ, "read"), proto::RAN, Reason::None));
+    CHECK(T.Counters.value(Reason::RetryTargetLost) == 1);
+  }
+}
+
+// Guards against a cut answer that looks whole, and rows that are sent twice.
+TEST_CASE("a connection lost during the answer of a read") {
+  Rig T([](FakeTarget &Self, int Fd, const wire::Frame &) {
+    std::string Rows;
+    while (Rows.size() < 80'000)
+      Rows += row();
+    Self.write(Fd, Rows);
+    Self.end(Fd);
+    return std::string();
+  });
+  T.exec(1, proto::READ, "read");
+  CHECK(T.until([&] { return !T.Frames[1].empty(); }));
+  T.send([](proto::Envelope &E) {
+    E.mutable_credit()->set_request_id(1);
+    E.mutable_credit()->set_bytes(100'000);
+  });
+  proto::Done D = T.done(1);
+  CHECK(is(D, proto::MAY_HAVE_RUN, Reason::AnswerIncomplete));
+  CHECK(D.chunks() > 0);
+}
+
+// Guards against statements that run outside the transaction that they belong to.
+TEST_CASE("a lease ends with its connection") {
+  Rig T(byText);
+  proto::Done D = T.run(1, proto::TRANSACTION, "begin");
+  CHECK(D.tx_status() == 'T');
+  REQUIRE(D.lease() != 0);
+  SUBCASE("by the holder") {
+    T.send([&](proto::Envelope &E) { E.mutable_release()->set_lease(D.lease()); });
+  }
+  SUBCASE("by the target") {
+    T.in([&] { T.Primary.endAll(); });
+    CHECK(T.until([&] { return T.Pool->drained(); }));
+  }
+  SUBCASE("with the entry instance") {
+    T.in([&] { T.Pool->onPeerLost(InstanceId("entry")); });
+  }
+  proto::Done After = T.run(2, proto::TRANSACTION, "insert", D.lease());
+  CHECK(is(After, proto::NOT_RUN, Reason::LeaseUnknown));
+  T.in([&] { CHECK(T.Primary.Queries == std::vector<std::string>{"begin"}); });
+}
+
+// Guards against an answer that reaches the caller of another request.
+TEST_CASE("a late answer of a request whose caller is gone is dropped") {
+  int Waiting = -1;
+  Rig T([&](FakeTarget &Self, int Fd, const wire::Frame &F) {
+    if (wire::parseQuery(F.Body) == "hang")
+      Waiting = Fd;
+    return byText(Self, Fd, F);
+  });
+  T.exec(1, proto::READ, "hang");
+  CHECK(T.reached("hang"));
+  T.in([&] { T.Pool->onPeerLost(InstanceId("entry")); });
+  CHECK(T.until([&] { return T.Primary.Cancels == std::vector<uint32_t>{4711}; }));
+  T.exec(2, proto::READ, "next");
+  T.in([&] { T.Primary.write(Waiting, row() + row() + answer("late")); });
+  T.done(2);
+  CHECK(T.until([&] { return T.Pool->drained(); }));
+  T.in([&] {
+    CHECK(T.Frames[2] == row() + wire::commandComplete("next"));
+    CHECK(T.Frames[1].empty());
+    CHECK(!T.Dones.contains(1));
+  });
+}
+
+// Guards against a cancelled request that runs later, and a cancel that is not passed on.
+TEST_CASE("cancel of queued and running requests") {
+  Rig T(byText);
+  for (uint64_t Id : {1, 2, 3})
+    T.exec(Id, proto::WRITE, "hang");
+  CHECK(T.until([&] { return T.Primary.Queries.size() == 2; }));
+  T.send([](proto::Envelope &E) { E.mutable_cancel()->set_request_id(3); });
+  CHECK(is(T.done(3), proto::NOT_RUN, Reason::Canceled));
+  T.send([](proto::Envelope &E) { E.mutable_cancel()->set_request_id(1); });
+  CHECK(T.until([&] { return T.Primary.Cancels.size() == 1; }));
+  T.in([&] { CHECK(T.Primary.Queries.size() == 2); });
+}
+
+// Guards against work on connections of a fenced primary.
+TEST_CASE("a change of term closes the connections of the old term") {
+  Rig T(byText);
+  T.exec(1, proto::WRITE, "hang");
+  CHECK(T.reached("hang"));
+  T.in([&] {
+    group::GroupState &G = T.Watch->Group;
+    G.Current = Term(6);
+    G.Primary = TargetId("r");
+    for (group::ServerState &S : G.Servers)
+      S.Accepted = Term(6);
+    T.Pool->onGroup(G);
+  });
+  CHECK(is(T.done(1), proto::MAY_HAVE_RUN, Reason::TermChanged));
+  CHECK(T.run(2, proto::WRITE, "insert").target() == "r");
+  T.in([&] { CHECK(T.Replica.Options.back() == "-c group_term=6"); });
+}
+
+// Guards against reads below the floor and a floor that is taken without a majority.
+TEST_CASE("reads go to a replica that covers the floor, else to the primary") {
+  Rig T(byText);
+  CHECK(T.run(1, proto::READ, "read", 0, 60'000'000).by_replica());
+  T.Watch->Verified = {std::nullopt, LogPosition{Term(5), 99}};
+  proto::Done D = T.run(2, proto::READ, "read", 0, 60'000'000, true);
+  CHECK(D.target() == "p");
+  CHECK(T.Watch->Verified.empty());
+  CHECK(T.Counters.value(Reason::RetryReplicaBehind) == 1);
+}
+
+// Guards against credit that is ignored and an answer that stops for good.
+TEST_CASE("a long answer is sent under credit") {
+  Rig T([](auto &, int, const auto &) {
+    std::string Rows;
+    while (Rows.size() < 500'000)
+      Rows += row();
+    return Rows + answer("SELECT");
+  });
+  T.exec(1, proto::READ, "read");
+  CHECK(T.until([&] { return !T.Frames[1].empty(); }));
+  absl::SleepFor(absl::Milliseconds(20));
+  T.in([&] { CHECK(T.Frames[1].size() < 100'000); });
+  CHECK(T.until([&] {
+    proto::Envelope E;
+    E.mutable_credit()->set_request_id(1);
+    E.mutable_credit()->set_bytes(10'000);
+    T.Pool->onEnvelope(InstanceId("entry"), E);
+    return T.Dones.contains(1);
+  }));
+  T.in([&] { CHECK(T.Frames[1].size() > 500'000); });
+}
--- /dev/null
+++ b/src/pool/relay.cpp
@@ -0,0 +1,270 @@
+#include "pool/relay.h"
+
+#include "absl/strings/numbers.h"
+
+#include <algorithm>
+#include <cassert>
+
+namespace toucan::pool {
+
+namespace {
+
+constexpr std::string_view PositionName = "group_position";
+
+// Frame types that end the reply to one frame of the request.
+struct FinalRow {
+  char Type;
+  std::string_view Finals;
+};
+
+constexpr FinalRow Finals[] = {
+    {'P', "1"}, {'B', "2"}, {'C', "3"}, {'D', "Tn"}, {'E', "CIs"},
+};
+
+std::string_view finalsOf(char Type) {
+  for (const FinalRow &Row : Finals)
+    if (Row.Type == Type)
+      return Row.Finals;
+  return {};
+}
+
+// Frame types that may occur in an answer, besides those handled by name.
+constexpr std::string_view ReplyTypes = "123CDGHIWTVcdnst";
+
+bool endsRequestPart(char Type) { return Type == 'Q' || Type == 'S'; }
+
+} // namespace
+
+std::optional<std::vector<Expected>> planReplies(std::string_view Frames,
+                                                 const std::set<uint32_t> &Hidden) {
+  std::vector<Expected> Plan;
+  // The frames came in one message, so their size bounds the size of each.
+  wire::FrameReader Reader(Frames.size());
+  Reader.append(Frames);
+  wire::Frame F;
+  wire::ReadStatus Status = wire::ReadStatus::NeedMore;
+  for (uint32_t Index = 0; (Status = Reader.next(F)) == wire::ReadStatus::Ready; ++Index) {
+    if (F.Type == 'H')
+      continue; // Flush has no reply
+    if (!endsRequestPart(F.Type) && finalsOf(F.Type).empty())
+      return std::nullopt;
+    Plan.push_back({.Type = F.Type, .Hidden = Hidden.contains(Index)});
+  }
+  bool Whole = Status == wire::ReadStatus::NeedMore && Reader.pending() == 0;
+  if (!Whole || Plan.empty() || !endsRequestPart(Plan.back().Type))
+    return std::nullopt;
+  return Plan;
+}
+
+std::optional<LogPosition> parsePosition(std::string_view Value) {
+  size_t Slash = Value.find('/');
+  if (Slash == std::string_view::npos)
+    return std::nullopt;
+  LogPosition P;
+  std::string_view Position = Value.substr(Slash + 1);
+  if (!absl::SimpleAtoi(absl::string_view(Value.data(), Slash), &P.InTerm.Value) ||
+      !absl::SimpleAtoi(absl::string_view(Position.data(), Position.size()), &P.Position))
+    return std::nullopt;
+  return P;
+}
+
+void ChunkBuffer::append(std::string_view Frame) {
+  if (this->Chunks.empty() || this->Chunks.back().size() + Frame.size() > this->ChunkBytes)
+    this->Chunks.emplace_back();
+  this->Chunks.back().append(Frame);
+  this->Bytes += Frame.size();
+}
+
+void ChunkBuffer::moveFrom(ChunkBuffer &Other) {
+  for (std::string &Chunk : Other.Chunks) {
+    // Joins the small parts of short replies, so that such a reply is one chunk.
+    if (!this->Chunks.empty() && this->Chunks.back().size() + Chunk.size() <= this->ChunkBytes)
+      this->Chunks.back().append(Chunk);
+    else
+      this->Chunks.push_back(std::move(Chunk));
+  }
+  this->Bytes += Other.Bytes;
+  Other.Chunks.clear();
+  Other.Bytes = 0;
+}
+
+std::optional<std::string> ChunkBuffer::take(bool Flush) {
+  bool Full = this->Chunks.size() > 1 ||
+              (this->Chunks.size() == 1 && this->Chunks.front().size() >= this->ChunkBytes);
+  if (this->Chunks.empty() || (!Full && !Flush))
+    return std::nullopt;
+  std::string Chunk = std::move(this->Chunks.front());
+  this->Chunks.pop_front();
+  this->Bytes -= Chunk.size();
+  return Chunk;
+}
+
+Relay::Relay(std::vector<Expected> Plan, RelayOptions Options)
+    : Plan(std::move(Plan)), Options(Options), Out(Options.ChunkBytes), Held(Options.ChunkBytes),
+      Tail(Options.ChunkBytes), LastPosition(Options.LastPosition) {
+  assert(!this->Plan.empty());
+  this->Unconfirmed = Options.AtPrimary && Options.LastPosition > Options.Confirmed;
+}
+
+RelayStep Relay::onFrame(const wire::Frame &F) {
+  if (this->Finished)
+    return RelayStep::Malformed;
+  switch (F.Type) {
+  case 'S':
+    return this->onParameter(F);
+  case 'E':
+    return this->onError(F);
+  case 'Z':
+    return this->onReady(F);
+  case 'N':
+    this->relay(F);
+    return RelayStep::More;
+  case 'A':
+    // LISTEN is not supported: a notification can only stem from earlier state of the connection.
+    return RelayStep::More;
+  default:
+    return this->onReply(F);
+  }
+}
+
+RelayStep Relay::onParameter(const wire::Frame &F) {
+  auto Parameter = wire::parseParameterStatus(F.Body);
+  if (!Parameter)
+    return RelayStep::Malformed;
+  if (Parameter->first != PositionName) {
+    this->relay(F);
+    return RelayStep::More;
+  }
+  std::optional<LogPosition> P = parsePosition(Parameter->second);
+  if (!P)
+    return RelayStep::Malformed;
+  if (*P == this->LastPosition)
+    return RelayStep::More;
+  this->LastPosition = *P;
+  if (this->Options.AtPrimary)
+    this->NewPosition = this->Unconfirmed = true;
+  return RelayStep::More;
+}
+
+// After an error the target skips everything up to the next Sync.
+RelayStep Relay::onError(const wire::Frame &F) {
+  std::optional<wire::ErrorFields> Fields = wire::parseError(F.Body);
+  if (!Fields)
+    return RelayStep::Malformed;
+  this->ErrorState = (*Fields)['C'];
+  std::string Severity = Fields->contains('V') ? (*Fields)['V'] : (*Fields)['S'];
+  if (Severity == "FATAL" || Severity == "PANIC") {
+    // Not part of the answer: the caller's connection does not end with the target's.
+    this->FatalText = (*Fields)['M'];
+    return RelayStep::Fatal;
+  }
+  // An error is relayed even for a hidden frame, because the frames after it are skipped.
+  if (this->InTail)
+    this->Tail.append(F.Whole);
+  else
+    this->Out.append(F.Whole);
+  while (!endsRequestPart(this->Plan[this->At].Type))
+    ++this->At;
+  return RelayStep::More;
+}
+
+RelayStep Relay::onReady(const wire::Frame &F) {
+  if (!endsRequestPart(this->Plan[this->At].Type) || F.Body.size() != 1)
+    return RelayStep::Malformed;
+  this->Status = F.Body[0];
+  if (this->Status != 'I' && this->Status != 'T' && this->Status != 'E')
+    return RelayStep::Malformed;
+  if (this->At + 1 < this->Plan.size()) {
+    ++this->At;
+    return RelayStep::More;
+  }
+  this->Finished = true;
+  if (!this->Unconfirmed)
+    this->Out.moveFrom(this->Tail);
+  return RelayStep::Finished;
+}
+
+RelayStep Relay::onReply(const wire::Frame &F) {
+  const Expected &Now = this->Plan[this->At];
+  // Sync has no reply of its own, and COPY from the caller is not supported.
+  if (ReplyTypes.find(F.Type) == std::string_view::npos || Now.Type == 'S' || F.Type == 'G' ||
+      F.Type == 'W')
+    return RelayStep::Malformed;
+  if (F.Type == 'C' && !Now.Hidden)
+    this->holdFrom(F);
+  this->relay(F);
+  if (finalsOf(Now.Type).find(F.Type) != std::string_view::npos)
+    ++this->At;
+  return RelayStep::More;
+}
+
+// Holds everything from a CommandComplete on. What was held before it is free, unless a position
+// was reported that is not confirmed.
+void Relay::holdFrom(const wire::Frame &F) {
+  this->CommandTag = wire::BodyReader(F.Body).cstring();
+  if (this->Unconfirmed)
+    this->Held.moveFrom(this->Tail);
+  else
+    this->Out.moveFrom(this->Tail);
+  this->InTail = true;
+}
+
+void Relay::relay(const wire::Frame &F) {
+  if (this->Plan[this->At].Hidden)
+    return;
+  if (!this->InTail) {
+    this->Out.append(F.Whole);
+    return;
+  }
+  this->Tail.append(F.Whole);
+  // A long result after the CommandComplete of another statement of the same request is not kept
+  // whole: the caller learns the outcome from the end of the request, which comes after the
+  // confirmation in any case.
+  if (this->Tail.bytes() > this->Options.CreditBytes && !this->Unconfirmed)
+    this->Out.moveFrom(this->Tail);
+}
+
+std::optional<LogPosition> Relay::takeUnconfirmed() {
+  if (!this->Unconfirmed || this->Confirming)
+    return std::nullopt;
+  this->Confirming = this->LastPosition;
+  return this->Confirming;
+}
+
+void Relay::confirmed() {
+  assert(this->Confirming);
+  bool Latest = *this->Confirming == this->LastPosition;
+  this->Confirming.reset();
+  if (!Latest)
+    return;
+  this->Unconfirmed = false;
+  this->Out.moveFrom(this->Held);
+  if (this->Finished || this->Tail.bytes() > this->Options.CreditBytes)
+    this->Out.moveFrom(this->Tail);
+}
+
+std::optional<std::string> Relay::takeChunk() {
+  if (this->SentBytes >= this->CreditedBytes + this->Options.CreditBytes)
+    return std::nullopt;
+  std::optional<std::string> Chunk = this->Out.take(this->Finished && !this->Unconfirmed);
+  if (!Chunk)
+    return std::nullopt;
+  this->SentBytes += Chunk->size();
+  ++this->ChunksSent;
+  return Chunk;
+}
+
+void Relay::credit(uint64_t Bytes) {
+  this->CreditedBytes = std::min(this->SentBytes, this->CreditedBytes + Bytes);
+}
+
+// A chunk that is not full is not sent before the end of the answer, so reading must go on at least
+// until one is full.
+bool Relay::wantsInput() const {
+  return this->Out.bytes() <= std::max(this->Options.CreditBytes, this->Options.ChunkBytes) &&
+         this->Held.bytes() + this->Tail.bytes() <= this->Options.CreditBytes;
+}
+
+bool Relay::complete() const { return this->Finished && !this->Unconfirmed && this->Out.empty(); }
+
+} // namespace toucan::pool
--- /dev/null
+++ b/src/pool/service.h
@@ -0,0 +1,176 @@
+// State of the pool's shell; included by the files that implement PoolService only.
+#ifndef TOUCAN_POOL_SERVICE_H
+#define TOUCAN_POOL_SERVICE_H
+
+#include "pool/connection.h"
+#include "pool/dispatch.h"
+#include "pool/outcome.h"
+#include "pool/pool.h"
+#include "pool/relay.h"
+
+#include "absl/container/flat_hash_map.h"
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace toucan::pool {
+
+enum class Stage : uint8_t {
+  Verifying,  // waits for the primary's confirmed position
+  Queued,     // waits in the dispatcher
+  Running,    // has a connection
+  Confirming, // the answer is whole, the connection is free
+};
+
+struct DatabaseState;
+
+struct Request {
+  TicketId Id;
+  InstanceId From;
+  uint64_t Incarnation = 0; // of the sender
+  proto::ExecRequest Exec;
+  DatabaseState *Database = nullptr;
+  std::vector<Expected> Plan;
+  Instant Arrived;
+  Instant Deadline;
+  Instant Started; // on the present connection
+  Stage At = Stage::Queued;
+  Connection *On = nullptr; // while running
+  bool Sent = false;        // the frames were given to the connection
+  std::unique_ptr<Relay> Reply;
+  TargetId Target;
+  bool AtPrimary = true;
+  bool Abandoned = false; // the answer is read and dropped
+  uint64_t Lease = 0;     // transaction that is open after the request
+  TimerId Timer;          // deadline while running or verifying
+
+  bool read() const { return this->Exec.kind() == proto::READ; }
+  bool repeatable() const { return this->read() && !this->Exec.once(); }
+  rules::WorkClass workClass() const {
+    return this->Exec.work_class() == proto::LONG ? rules::WorkClass::Long
+                                                  : rules::WorkClass::Short;
+  }
+};
+
+// A target connection pinned by an open transaction.
+struct Lease {
+  LeaseId Id;
+  InstanceId Holder;
+  uint64_t Session = 0;
+  Connection *On = nullptr;
+  char Status = 'T'; // or 'E'
+  TimerId Timer;     // idle-in-transaction deadline; 0 while a request waits or runs
+};
+
+struct DatabaseState {
+  DatabaseState(member::Group G, DispatchOptions Options)
+      : Group(std::move(G)), Dispatch(Options) {}
+  member::Group Group;
+  Dispatcher Dispatch;
+  std::optional<Term> CurrentTerm;
+  std::optional<TargetId> Primary;
+  std::vector<Connection *> Idle; // the most recently used last
+  LogPosition Confirmed;          // highest position that a majority is known to have
+  TimerId Wake;
+  bool Pumping = false;
+  bool PumpAgain = false;
+};
+
+struct PoolService::Impl : ConnectionListener {
+  Impl(Loop &InLoop, PoolOptions Options, member::SendFn Send, group::Watcher &Groups,
+       Metrics &Counters);
+  ~Impl() override;
+
+  // pool.cpp: messages and admission
+  void onView(member::ViewPtr New);
+  void onEnvelope(const InstanceId &From, proto::Envelope Message);
+  void onExec(const InstanceId &From, uint64_t Incarnation, proto::ExecRequest Exec);
+  Reason admissionProblem(const InstanceId &From, const proto::ExecRequest &Exec) const;
+  void onCredit(const InstanceId &From, const proto::Credit &Message);
+  void onCancel(const InstanceId &From, uint64_t RequestId);
+  void onPeerLost(const InstanceId &Peer);
+  void beginDrain(Instant Deadline);
+  void endDrain();
+  DatabaseState *database(const DatabaseName &Name);
+  Request *find(const InstanceId &From, uint64_t RequestId);
+  Request *find(TicketId Id);
+  void verify(Request &R);
+  void onVerified(TicketId Id, std::optional<LogPosition> Floor);
+  void enqueue(Request &R);
+  Ticket ticketOf(const Request &R) const;
+  // Sends a refusal of a request that is not known yet.
+  void refuse(const InstanceId &To, const proto::ExecRequest &Exec, Reason Why);
+  // Ends a request without the target's own answer.
+  void fail(Request &R, Reason Why, Verdict Outcome, std::string Detail = "",
+            absl::Duration RetryAfter = absl::ZeroDuration());
+  void erase(Request &R);
+  // Ends a request whose caller is gone, without a Done.
+  void abandon(Request &R);
+  void describeLease(uint64_t Id, const InstanceId &Holder, proto::Done &D) const;
+  void maintain();
+
+  // execute.cpp: one request on a connection
+  void pump(DatabaseState &D);
+  void assign(DatabaseState &D, const Action &A);
+  void begin(DatabaseState &D, TicketId Id);
+  void cancelAtTarget(Connection &C);
+  void onRequestDeadline(TicketId Id);
+  void onInput(Connection &C) override;
+  void onIdleInput(Connection &C);
+  void progress(TicketId Id);
+  void confirm(Request &R);
+  void onConfirmed(TicketId Id, LogPosition Position, group::ConfirmResult Result);
+  void sendChunks(Request &R);
+  void answered(Request &R);
+  void finish(Request &R);
+  void onConnectionEnd(Request &R, bool TermOver, bool Written, const std::string &Why);
+  void runAgain(Request &R);
+
+  // connections.cpp: connections and leases
+  DatabaseState &databaseOf(const Connection &C);
+  void openConnection(DatabaseState &D, const TargetId &At);
+  void onOpened(Connection &C) override;
+  void onLost(Connection &C, const std::string &Why) override;
+  // Makes a connection available to other requests.
+  void release(Connection &C, DatabaseState &D);
+  // Closes a connection; its request, if any, ends or is tried again.
+  void drop(Connection &C, bool TermOver, const std::string &Why);
+  void forget(Connection &C, DatabaseState &D, bool Failed);
+  void onGroup(const group::GroupState &S);
+  void keepLease(Request &R, Connection &C);
+  void waitInLease(Lease &L);
+  void endLease(LeaseId Id);
+  void onRelease(const InstanceId &From, LeaseId Id);
+  proto::TargetsReply targets() const;
+
+  Loop &InLoop;
+  PoolOptions Options;
+  member::SendFn Send;
+  group::Watcher &Groups;
+  Metrics &Counters;
+  member::ViewPtr View;
+  std::map<DatabaseName, std::unique_ptr<DatabaseState>> Databases;
+  absl::flat_hash_map<TicketId, std::unique_ptr<Request>> Requests;
+  absl::flat_hash_map<std::pair<InstanceId, uint64_t>, TicketId> ByCaller;
+  absl::flat_hash_map<ConnectionId, std::unique_ptr<Connection>> Connections;
+  absl::flat_hash_map<LeaseId, Lease> Leases;
+  // Closed connections, kept until the handlers on the stack have returned.
+  std::vector<std::unique_ptr<Connection>> Closed;
+  CancelSender Cancels;
+  RetryBudget Budget;
+  uint64_t NextTicket = 1;
+  uint64_t NextConnection = 1;
+  uint64_t NextLease;
+  bool Draining = false;
+  TimerId Maintenance;
+  TimerId DrainTimer;
+  // Callbacks of the watcher that run after the destructor find it expired.
+  std::shared_ptr<Impl *> Alive;
+};
+
+} // namespace toucan::pool
+
+#endif // TOUCAN_POOL_SERVICE_H
