Add the platform client and the stand-in platform

Cause: daemons and toucanctl read lists, rules and objects from the platform (docs/platform.md). Ruled out: kept connections, since a connection found closed after a write was sent turns a plain failure into an unknown outcome; the library's timeout alone, since it starts again with each part of an answer. Change: Client over cpp-httplib; standin-platform with checks, lists that lag and faults. Written has the new value NotDone, for 503, other refusals and connections that were not made: the page says that 503 means that nothing was done, and Unknown would send the operator to read back for nothing. Figures: none measured; a call takes at most twice the timeout. Conclusion: test_platform passes plain and under address,undefined (down, slow, lost answer, conflict, broken JSON, lagging lists).

--- /dev/null
+++ b/src/platform/platform.cpp
@@ -0,0 +1,263 @@
+#include "platform/platform.h"
+
+#include "absl/strings/str_format.h"
+
+#include <httplib.h>
+#include <nlohmann/json.hpp>
+
+#include <chrono>
+#include <csignal>
+
+namespace toucan::platform {
+
+namespace {
+
+using nlohmann::json;
+
+constexpr size_t MaxQuotedBody = 200; // characters of an answer that an error text quotes
+
+// Outcome of one HTTP call.
+struct Answer {
+  int Status = 0;   // 0: no answer
+  bool Sent = true; // false: the platform cannot have received the request
+  std::string Body;
+  std::string Cause; // why there is no answer
+};
+
+// Percent-encodes a key or name for a path; a slash stays, since keys contain it.
+std::string encoded(std::string_view Text) {
+  std::string Out;
+  for (char C : Text) {
+    bool Plain = (C >= 'a' && C <= 'z') || (C >= 'A' && C <= 'Z') || (C >= '0' && C <= '9') ||
+                 std::string_view("-._~/").find(C) != std::string_view::npos;
+    if (Plain)
+      Out += C;
+    else
+      absl::StrAppendFormat(&Out, "%%%02X", static_cast<unsigned char>(C));
+  }
+  return Out;
+}
+
+// Why an answer other than 200 is an error.
+std::string causeOf(const Answer &A) {
+  if (A.Status == 0)
+    return A.Cause;
+  return absl::StrFormat("HTTP status %d: %s", A.Status, A.Body.substr(0, MaxQuotedBody));
+}
+
+bool isLeaving(const json &Row) {
+  std::string State = Row.at("state");
+  if (State != "live" && State != "leaving")
+    throw std::invalid_argument(absl::StrFormat("unknown state \"%s\"", State));
+  return State == "leaving";
+}
+
+member::Place placeOf(const json &Row) {
+  return {.Dc = DataCentre(Row.at("data_centre").get<std::string>()),
+          .InRegion = Region(Row.at("region").get<std::string>())};
+}
+
+// Reads an integer; json's own conversion would cut off high bits without an error.
+uint32_t boundedInteger(const json &Row, const char *Name, uint32_t Min, uint32_t Max) {
+  const json &Value = Row.at(Name);
+  if (!Value.is_number_integer() || Value < Min || Value > Max)
+    throw std::invalid_argument(
+        absl::StrFormat("%s is %s, not a number in %d to %d", Name, Value.dump(), Min, Max));
+  return Value.get<uint32_t>();
+}
+
+uint64_t versionOf(const json &Value) {
+  if (!Value.is_number_unsigned())
+    throw std::invalid_argument(absl::StrFormat("%s is not a version", Value.dump()));
+  return Value.get<uint64_t>();
+}
+
+InstanceRow instanceOf(const json &Row) {
+  return {.Id = InstanceId(Row.at("id").get<std::string>()),
+          .LinkEndpoint = Row.at("link").get<std::string>(),
+          .At = placeOf(Row),
+          .Leaving = isLeaving(Row)};
+}
+
+member::Target targetOf(const json &Row) {
+  return {.Id = TargetId(Row.at("id").get<std::string>()),
+          .Host = Row.at("host").get<std::string>(),
+          .Port = static_cast<uint16_t>(boundedInteger(Row, "port", 1, 65535)),
+          .At = placeOf(Row),
+          .Status = isLeaving(Row) ? rules::TargetState::Leaving : rules::TargetState::Active};
+}
+
+member::Group groupOf(const json &Row) {
+  constexpr uint32_t MaxPerTarget = 1'000'000;
+  member::Group Out{.Name = DatabaseName(Row.at("name").get<std::string>()),
+                    .Targets = {},
+                    .SlotsPerTarget = boundedInteger(Row, "slots", 1, MaxPerTarget),
+                    .ConnectionsPerTarget = boundedInteger(Row, "connections", 1, MaxPerTarget)};
+  for (const json &Target : Row.at("targets"))
+    Out.Targets.push_back(targetOf(Target));
+  return Out;
+}
+
+// Body of a transaction of one row; dump() throws on a value that is not UTF-8.
+std::string transactionBody(const std::string &Key, uint64_t Version, const std::string &Value) {
+  json Body;
+  Body["checks"] = json::array({{{"key", Key}, {"version", Version}}});
+  Body["puts"] = json::array({{{"key", Key}, {"value", Value}}});
+  return Body.dump();
+}
+
+} // namespace
+
+struct Client::Impl {
+  ClientOptions Options;
+
+  std::string url(std::string_view Path) const {
+    return absl::StrFormat("%s%s", this->Options.Url, Path);
+  }
+  boost::leaf::error_id fail(std::string_view Path, std::string_view Cause) const {
+    return failure(absl::StrFormat("%s: %s", this->url(Path), Cause));
+  }
+  Answer call(const char *Method, const std::string &Path, const std::string &Body = "") const;
+  Answer callOrThrow(const char *Method, const std::string &Path, const std::string &Body) const;
+  WriteOutcome outcomeOf(const Answer &A, const std::string &Key) const;
+
+  // Runs Read on the parsed answer of a GET; exceptions become errors.
+  template <class Fn> auto get(const std::string &Path, const Answer &A, Fn &&Read) const {
+    using T = decltype(Read(json()));
+    if (A.Status != 200)
+      return Result<T>(this->fail(Path, causeOf(A)));
+    try {
+      return Result<T>(Read(json::parse(A.Body)));
+    } catch (const std::exception &E) {
+      return Result<T>(this->fail(Path, absl::StrFormat("broken answer: %s", E.what())));
+    }
+  }
+};
+
+Answer Client::Impl::callOrThrow(const char *Method, const std::string &Path,
+                                 const std::string &Body) const {
+  httplib::Client Http(this->Options.Url);
+  if (!Http.is_valid())
+    return {.Sent = false, .Body = {}, .Cause = "the URL is not http://IP:PORT"};
+  auto Timeout = absl::ToChronoMicroseconds(this->Options.Timeout);
+  Http.set_connection_timeout(Timeout);
+  Http.set_read_timeout(Timeout);
+  Http.set_write_timeout(Timeout);
+  Http.set_tcp_nodelay(true);
+  httplib::Request In;
+  In.method = Method;
+  In.path = Path;
+  In.body = Body;
+  if (!Body.empty())
+    In.set_header("Content-Type", "application/octet-stream");
+  // The library's timeout starts again with each part of an answer; this one does not.
+  Instant Deadline = monotonicNow() + 2 * this->Options.Timeout;
+  In.progress = [Deadline](uint64_t, uint64_t) { return monotonicNow() < Deadline; };
+  httplib::Result Out = Http.send(In);
+  if (Out)
+    return {.Status = Out->status, .Body = Out->body, .Cause = {}};
+  bool Connected =
+      Out.error() != httplib::Error::Connection && Out.error() != httplib::Error::ConnectionTimeout;
+  return {.Sent = Connected,
+          .Body = {},
+          .Cause = absl::StrFormat("no answer: %s (timeout %s)", httplib::to_string(Out.error()),
+                                   absl::FormatDuration(this->Options.Timeout))};
+}
+
+Answer Client::Impl::call(const char *Method, const std::string &Path,
+                          const std::string &Body) const {
+  if (!this->Options.Url.starts_with("http://"))
+    return {.Sent = false, .Body = {}, .Cause = "the URL does not start with http://"};
+  try {
+    return this->callOrThrow(Method, Path, Body);
+  } catch (const std::exception &E) {
+    return {.Body = {}, .Cause = E.what()};
+  }
+}
+
+// Decides whether a write took effect. A broken answer leaves it open, as no answer does.
+WriteOutcome Client::Impl::outcomeOf(const Answer &A, const std::string &Key) const {
+  std::string Detail = absl::StrFormat("%s: %s", this->url("/v1/table"), causeOf(A));
+  bool Refused = A.Status == 503 || (A.Status >= 400 && A.Status < 500 && A.Status != 409);
+  if (!A.Sent || Refused)
+    return {.Result = Written::NotDone, .Detail = Detail};
+  if (A.Status != 200 && A.Status != 409)
+    return {.Result = Written::Unknown, .Detail = Detail};
+  try {
+    json Body = json::parse(A.Body);
+    if (A.Status == 200)
+      return {
+          .Result = Written::Done, .Version = versionOf(Body.at("versions").at(Key)), .Detail = {}};
+    return {.Result = Written::Conflict, .Version = versionOf(Body.at("version")), .Detail = {}};
+  } catch (const std::exception &E) {
+    return {.Result = Written::Unknown,
+            .Detail = absl::StrFormat("%s: broken answer: %s", this->url("/v1/table"), E.what())};
+  }
+}
+
+Client::Client(ClientOptions Options) : State(std::make_unique<Impl>()) {
+  std::signal(SIGPIPE, SIG_IGN);
+  while (Options.Url.ends_with('/'))
+    Options.Url.pop_back();
+  this->State->Options = std::move(Options);
+}
+
+Client::~Client() = default;
+
+Result<Directory> Client::directory() {
+  Directory Out;
+  Answer Instances = this->State->call("GET", "/v1/instances");
+  BOOST_LEAF_CHECK(this->State->get("/v1/instances", Instances, [&](const json &Body) {
+    for (const json &Row : Body.at("instances"))
+      Out.Instances.push_back(instanceOf(Row));
+    return Unit{};
+  }));
+  Answer Groups = this->State->call("GET", "/v1/groups");
+  BOOST_LEAF_CHECK(this->State->get("/v1/groups", Groups, [&](const json &Body) {
+    for (const json &Row : Body.at("groups"))
+      Out.Groups.push_back(groupOf(Row));
+    return Unit{};
+  }));
+  return Out;
+}
+
+Result<Row> Client::read(const std::string &Key) {
+  std::string Path = absl::StrFormat("/v1/table/%s", encoded(Key));
+  Answer A = this->State->call("GET", Path);
+  if (A.Status == 404)
+    return Row{};
+  return this->State->get(Path, A, [](const json &Body) {
+    return Row{.Version = versionOf(Body.at("version")),
+               .Value = Body.at("value").get<std::string>()};
+  });
+}
+
+WriteOutcome Client::compareAndSet(const std::string &Key, uint64_t ExpectedVersion,
+                                   const std::string &Value) {
+  std::string Body;
+  try {
+    Body = transactionBody(Key, ExpectedVersion, Value);
+  } catch (const std::exception &E) {
+    return {.Result = Written::NotDone,
+            .Detail = absl::StrFormat("the value of %s cannot be sent: %s", Key, E.what())};
+  }
+  return this->State->outcomeOf(this->State->call("POST", "/v1/table", Body), Key);
+}
+
+Result<std::string> Client::getObject(const std::string &Name) {
+  std::string Path = absl::StrFormat("/v1/objects/%s", encoded(Name));
+  Answer A = this->State->call("GET", Path);
+  if (A.Status != 200)
+    return this->State->fail(Path, causeOf(A));
+  return A.Body;
+}
+
+Result<void> Client::putObject(const std::string &Name, const std::string &Value) {
+  std::string Path = absl::StrFormat("/v1/objects/%s", encoded(Name));
+  Answer A = this->State->call("PUT", Path, Value);
+  if (A.Status != 200)
+    return this->State->fail(Path, causeOf(A));
+  return {};
+}
+
+} // namespace toucan::platform
--- a/src/platform/platform.h
+++ b/src/platform/platform.h
@@ -15,8 +15,9 @@
 namespace toucan::platform {
 
 struct ClientOptions {
-  std::string Url;                           // http://IP:PORT
-  absl::Duration Timeout = absl::Seconds(2); // of each call
+  std::string Url; // http://IP:PORT
+  // Of connecting, and then of the answer: a call takes at most twice this time.
+  absl::Duration Timeout = absl::Seconds(2);
 };
 
 struct InstanceRow {
@@ -42,15 +43,18 @@
   Done,     // the new value is in force
   Conflict, // another version was found; nothing was written
   Unknown,  // no answer: read back to learn whether it took effect
+  NotDone,  // not sent, or refused by the platform; nothing was written
 };
 
 struct WriteOutcome {
   Written Result = Written::Unknown;
   uint64_t Version = 0; // the version found or written
-  std::string Detail;   // cause, for Unknown
+  std::string Detail;   // cause, for Unknown and NotDone
 };
 
-// Blocking; one thread at a time.
+// Blocking; one thread at a time. Errors name the URL and the cause. Each call opens a connection
+// of its own: a kept connection may be found closed only after a write was sent. Makes the process
+// ignore SIGPIPE, which cpp-httplib raises when the platform closes a connection.
 class Client {
 public:
   explicit Client(ClientOptions Options);
--- /dev/null
+++ b/src/platform/platform_test.cpp
@@ -0,0 +1,171 @@
+#include "platform/platform.h"
+#include "standin/platform/server.h"
+
+#include "absl/strings/str_format.h"
+
+#include <doctest/doctest.h>
+#include <httplib.h>
+#include <nlohmann/json.hpp>
+
+#include <thread>
+
+using namespace toucan;
+using namespace toucan::platform;
+
+namespace {
+
+// A stand-in in this process with a client.
+struct Fixture {
+  standin::PlatformServer Server;
+  int Port = *capture([&] { return this->Server.start(0); });
+  std::string Url = absl::StrFormat("http://127.0.0.1:%d", this->Port);
+  Client C{{.Url = this->Url, .Timeout = absl::Milliseconds(300)}};
+
+  int admin(const std::string &Path, const std::string &Body) {
+    return httplib::Client(this->Url).Put("/admin/" + Path, Body, "application/json")->status;
+  }
+  Row read(const std::string &Key) {
+    auto Found = capture([&] { return this->C.read(Key); });
+    REQUIRE_MESSAGE(Found, Found.Problem.Message);
+    return *Found;
+  }
+  std::string directoryError() {
+    auto Found = capture([&] { return this->C.directory(); });
+    return Found ? "" : Found.Problem.Message;
+  }
+};
+
+// Answers every GET and POST with one body.
+struct FixedServer {
+  httplib::Server Http;
+  int Port = 0;
+  std::thread Listener;
+  explicit FixedServer(const std::string &Body) {
+    auto Handler = [Body](const httplib::Request &, httplib::Response &Out) {
+      Out.set_content(Body, "application/json");
+    };
+    this->Http.Get(".*", Handler).Post(".*", Handler);
+    this->Port = this->Http.bind_to_any_port("127.0.0.1");
+    this->Listener = std::thread([this] { this->Http.listen_after_bind(); });
+    while (!this->Http.is_running())
+      std::this_thread::yield();
+  }
+  ~FixedServer() {
+    this->Http.stop();
+    this->Listener.join();
+  }
+};
+
+bool contains(const std::string &Text, std::string_view Part) {
+  return Text.find(Part) != std::string::npos;
+}
+
+} // namespace
+
+TEST_CASE_FIXTURE(Fixture, "rows are written by compare-and-set") {
+  CHECK(read("config/rules").Version == 0);
+  CHECK(C.compareAndSet("config/rules", 0, "a").Version == 1);
+  auto Second = C.compareAndSet("config/rules", 1, "b\n\"\xc3\xa9");
+  CHECK(Second.Result == Written::Done);
+  CHECK(Second.Version == 2);
+  CHECK(read("config/rules").Value == "b\n\"\xc3\xa9");
+  // Guards against a change that overwrites another operator's change.
+  auto Late = C.compareAndSet("config/rules", 1, "c");
+  CHECK(Late.Result == Written::Conflict);
+  CHECK(Late.Version == 2);
+  CHECK(C.compareAndSet("config/rules", 0, "c").Result == Written::Conflict);
+  CHECK(read("config/rules").Value == "b\n\"\xc3\xa9");
+  CHECK(C.compareAndSet("k", 0, "\xff").Result == Written::NotDone);
+  // Guards against a key that is cut at a character with a meaning in URLs.
+  CHECK(C.compareAndSet("group/a b?c#d%41", 0, "x").Result == Written::Done);
+  CHECK(read("group/a b?c#d%41").Value == "x");
+}
+
+TEST_CASE_FIXTURE(Fixture, "objects keep their bytes") {
+  std::string Bytes("\x00\xff\n", 3);
+  REQUIRE(capture([&] { return C.putObject("a/b", Bytes); }));
+  auto Found = capture([&] { return C.getObject("a/b"); });
+  REQUIRE(Found);
+  CHECK(*Found == Bytes);
+  CHECK(contains(capture([&] { return C.getObject("none"); }).Problem.Message,
+                 Url + "/v1/objects/none: HTTP status 404"));
+}
+
+TEST_CASE_FIXTURE(Fixture, "lists are read and lag") {
+  admin("instances", R"({"instances":[{"id":"i1","link":"127.0.0.1:7000","data_centre":"dc1",
+        "region":"otago","state":"leaving"}]})");
+  admin("groups", R"({"groups":[{"name":"orders","slots":3,"connections":25,"targets":[
+        {"id":"orders-1","host":"127.0.0.1","port":5000,"data_centre":"dc1","region":"otago",
+         "state":"live"}]}]})");
+  auto Found = capture([&] { return C.directory(); });
+  REQUIRE_MESSAGE(Found, Found.Problem.Message);
+  CHECK(Found->Instances.at(0).LinkEndpoint == "127.0.0.1:7000");
+  CHECK(Found->Instances.at(0).Leaving);
+  CHECK(Found->Groups.at(0).Targets.at(0).Port == 5000);
+  CHECK(Found->Groups.at(0).ConnectionsPerTarget == 25);
+  admin("faults", R"({"list_lag_ms":150})");
+  admin("groups", R"({"groups":[]})");
+  CHECK(capture([&] { return C.directory(); })->Groups.size() == 1);
+  std::this_thread::sleep_for(std::chrono::milliseconds(200));
+  CHECK(capture([&] { return C.directory(); })->Groups.empty());
+  CHECK(admin("groups", R"({"instances":[]})") == 400);
+}
+
+// Guards against a row that is taken for missing while the platform is down.
+TEST_CASE_FIXTURE(Fixture, "a platform that is down is an error, and no write is done") {
+  admin("faults", R"({"down":true})");
+  CHECK(directoryError().starts_with(Url + "/v1/instances: HTTP status 503"));
+  CHECK_FALSE(capture([&] { return C.read("k"); }));
+  CHECK(C.compareAndSet("k", 0, "v").Result == Written::NotDone);
+  admin("faults", "{}");
+  CHECK(read("k").Version == 0);
+  Server.stop();
+  CHECK(contains(directoryError(), "/v1/instances: no answer: Connection"));
+  CHECK(C.compareAndSet("k", 0, "v").Result == Written::NotDone);
+}
+
+// Guards against a write that is reported as not done although it took effect.
+TEST_CASE_FIXTURE(Fixture, "a lost or late answer leaves a write unknown") {
+  admin("faults", R"({"lose_answers":1})");
+  auto Lost = C.compareAndSet("k", 0, "v");
+  CHECK(Lost.Result == Written::Unknown);
+  CHECK(contains(Lost.Detail, Url + "/v1/table: no answer"));
+  CHECK(read("k").Version == 1);
+  CHECK(C.compareAndSet("k", 1, "w").Result == Written::Done);
+  admin("faults", R"({"delay_ms":2000})");
+  Instant Start = monotonicNow();
+  CHECK(C.compareAndSet("k", 2, "x").Result == Written::Unknown);
+  CHECK(contains(directoryError(), "timeout 300ms"));
+  CHECK(monotonicNow() - Start < absl::Milliseconds(1500));
+  admin("faults", "{}");
+  CHECK(read("k").Value == "x");
+  auto Counts = nlohmann::json::parse(httplib::Client(Url).Get("/admin/counts")->body);
+  CHECK(Counts.at("/v1/table") == 3);
+  CHECK(Counts.at("/v1/table/k") == 2);
+}
+
+TEST_CASE("broken answers are errors that name the URL") {
+  const std::string UnknownState = R"({"instances":[{"id":"a","link":"l","data_centre":"d",
+      "region":"r","state":"gone"}]})";
+  for (const std::string &Body : {std::string("{"), std::string("[]"), std::string(""),
+                                  std::string(R"({"instances":[{"id":7}]})"), UnknownState}) {
+    CAPTURE(Body);
+    FixedServer Server(Body);
+    std::string Url = absl::StrFormat("http://127.0.0.1:%d", Server.Port);
+    Client C({.Url = Url, .Timeout = absl::Seconds(2)});
+    auto Found = capture([&] { return C.directory(); });
+    CHECK(Found.Problem.Message.starts_with(Url + "/v1/instances: broken answer: "));
+    CHECK(C.compareAndSet("k", 0, "v").Result == Written::Unknown);
+  }
+  Client Wrong({.Url = "ftp://127.0.0.1"});
+  CHECK(contains(capture([&] { return Wrong.read("k"); }).Problem.Message, "does not start with"));
+}
+
+// Guards against numbers that are cut to 16 bits.
+TEST_CASE("a port out of range is an error") {
+  FixedServer Server(R"({"instances":[],"groups":[{"name":"a","slots":1,"connections":1,"targets":[
+    {"id":"t","host":"127.0.0.1","port":70000,"data_centre":"d","region":"r","state":"live"}]}]})");
+  Client C({.Url = absl::StrFormat("http://127.0.0.1:%d", Server.Port)});
+  auto Found = capture([&] { return C.directory(); });
+  CHECK(contains(Found.Problem.Message, "port is 70000, not a number in 1 to 65535"));
+}
--- /dev/null
+++ b/standin/platform/server.cpp
@@ -0,0 +1,250 @@
+#include "server.h"
+
+#include "base/ids.h"
+#include "store.h"
+
+#include "absl/strings/str_format.h"
+#include "absl/synchronization/mutex.h"
+#include "absl/time/clock.h"
+
+#include <arpa/inet.h>
+#include <httplib.h>
+#include <nlohmann/json.hpp>
+#include <sys/socket.h>
+
+#include <algorithm>
+#include <atomic>
+#include <cerrno>
+#include <cstring>
+#include <optional>
+#include <thread>
+
+namespace toucan::standin {
+
+namespace {
+
+using httplib::Request;
+using httplib::Response;
+using nlohmann::json;
+
+// A kept connection holds a thread, and so does a delayed answer.
+constexpr size_t ServerThreads = 128;
+constexpr int64_t MaxFaultMs = 3'600'000;
+constexpr int64_t MaxLostAnswers = 1'000'000;
+constexpr int MaxDescriptors = 4096;
+constexpr absl::Duration DelaySlice = absl::Milliseconds(5); // bounds the time of stop()
+
+void answer(Response &Out, int Status, const json &Body) {
+  Out.status = Status;
+  Out.set_content(Body.dump(-1, ' ', false, json::error_handler_t::replace), "application/json");
+}
+
+int portOf(const sockaddr_storage &Address) {
+  if (Address.ss_family == AF_INET)
+    return ntohs(reinterpret_cast<const sockaddr_in &>(Address).sin_port);
+  return -1;
+}
+
+// Shuts the connection of a request down, so that the answer is lost. cpp-httplib does not expose
+// the descriptor of a connection; it is found by its two ports.
+void dropConnection(const Request &In, int ServerPort) {
+  for (int Fd = 0; Fd < MaxDescriptors; ++Fd) {
+    sockaddr_storage Peer{}, Self{};
+    socklen_t PeerSize = sizeof Peer, SelfSize = sizeof Self;
+    if (getpeername(Fd, reinterpret_cast<sockaddr *>(&Peer), &PeerSize) != 0 ||
+        getsockname(Fd, reinterpret_cast<sockaddr *>(&Self), &SelfSize) != 0)
+      continue;
+    if (portOf(Peer) == In.remote_port && portOf(Self) == ServerPort)
+      shutdown(Fd, SHUT_RDWR);
+  }
+}
+
+int64_t boundedInteger(const json &Body, const char *Name, int64_t Max) {
+  int64_t Value = Body.value(Name, int64_t{0});
+  if (Value < 0 || Value > Max)
+    throw std::invalid_argument(absl::StrFormat("%s is not in 0 to %d", Name, Max));
+  return Value;
+}
+
+Faults faultsOf(const json &Body) {
+  return {.Down = Body.value("down", false),
+          .DelayMs = boundedInteger(Body, "delay_ms", MaxFaultMs),
+          .LoseAnswers = boundedInteger(Body, "lose_answers", MaxLostAnswers),
+          .ListLagMs = boundedInteger(Body, "list_lag_ms", MaxFaultMs)};
+}
+
+} // namespace
+
+struct PlatformServer::Impl {
+  httplib::Server Http;
+  std::thread Listener;
+  int Port = 0;
+  std::atomic<bool> Stopping = false;
+  absl::Mutex Mutex;
+  Table Rows ABSL_GUARDED_BY(Mutex);
+  std::map<std::string, std::string> Objects ABSL_GUARDED_BY(Mutex);
+  LaggingList Instances ABSL_GUARDED_BY(Mutex){json{{"instances", json::array()}}};
+  LaggingList Groups ABSL_GUARDED_BY(Mutex){json{{"groups", json::array()}}};
+  Faults Active ABSL_GUARDED_BY(Mutex);
+  std::map<std::string, uint64_t> Counts ABSL_GUARDED_BY(Mutex);
+
+  void addTableRoutes();
+  void addObjectRoutes();
+  void addListRoutes(const std::string &Name, LaggingList &List);
+  void addAdminRoutes();
+  void addFaults();
+  void write(const Request &In, Response &Out);
+  void delayAnswer(const Request &In);
+};
+
+// One transaction: all checks, then all puts. Loses the answer if that fault is set.
+void PlatformServer::Impl::write(const Request &In, Response &Out) {
+  json Body = json::parse(In.body);
+  std::vector<Table::Check> Checks;
+  std::vector<Table::Put> Puts;
+  for (const json &C : Body.value("checks", json::array()))
+    Checks.push_back({.Key = C.at("key"), .Version = C.at("version")});
+  for (const json &P : Body.value("puts", json::array()))
+    Puts.push_back({.Key = P.at("key"), .Value = P.at("value")});
+  absl::MutexLock Lock(&this->Mutex);
+  if (auto Failed = this->Rows.failedCheck(Checks)) {
+    answer(Out, 409, {{"key", Failed->Key}, {"version", Failed->Version}});
+    return;
+  }
+  answer(Out, 200, {{"versions", this->Rows.put(Puts)}});
+  if (this->Active.LoseAnswers > 0) {
+    --this->Active.LoseAnswers;
+    dropConnection(In, this->Port);
+  }
+}
+
+void PlatformServer::Impl::addTableRoutes() {
+  this->Http.Get("/v1/table/(.+)", [this](const Request &In, Response &Out) {
+    absl::MutexLock Lock(&this->Mutex);
+    auto Row = this->Rows.get(In.matches[1]);
+    if (Row)
+      answer(Out, 200, {{"version", Row->Version}, {"value", Row->Value}});
+    else
+      answer(Out, 404, {{"error", "no such row"}});
+  });
+  this->Http.Post("/v1/table", [this](const Request &In, Response &Out) { this->write(In, Out); });
+}
+
+void PlatformServer::Impl::addObjectRoutes() {
+  this->Http.Get("/v1/objects/(.+)", [this](const Request &In, Response &Out) {
+    absl::MutexLock Lock(&this->Mutex);
+    auto It = this->Objects.find(In.matches[1]);
+    if (It == this->Objects.end())
+      answer(Out, 404, {{"error", "no such object"}});
+    else
+      Out.set_content(It->second, "application/octet-stream");
+  });
+  this->Http.Put("/v1/objects/(.+)", [this](const Request &In, Response &Out) {
+    absl::MutexLock Lock(&this->Mutex);
+    this->Objects[In.matches[1]] = In.body;
+    answer(Out, 200, json::object());
+  });
+}
+
+void PlatformServer::Impl::addListRoutes(const std::string &Name, LaggingList &List) {
+  this->Http.Get("/v1/" + Name, [this, &List](const Request &, Response &Out) {
+    absl::MutexLock Lock(&this->Mutex);
+    answer(Out, 200, List.at(monotonicNow()));
+  });
+  this->Http.Put("/admin/" + Name, [this, Name, &List](const Request &In, Response &Out) {
+    json Body = json::parse(In.body);
+    if (!Body.is_object() || !Body.contains(Name) || !Body.at(Name).is_array())
+      throw std::invalid_argument(absl::StrFormat("the body has no list \"%s\"", Name));
+    absl::MutexLock Lock(&this->Mutex);
+    List.change(std::move(Body), monotonicNow() + absl::Milliseconds(this->Active.ListLagMs));
+    answer(Out, 200, json::object());
+  });
+}
+
+void PlatformServer::Impl::addAdminRoutes() {
+  this->Http.Put("/admin/faults", [this](const Request &In, Response &Out) {
+    Faults New = faultsOf(json::parse(In.body));
+    absl::MutexLock Lock(&this->Mutex);
+    this->Active = New;
+    answer(Out, 200, json::object());
+  });
+  this->Http.Get("/admin/counts", [this](const Request &, Response &Out) {
+    absl::MutexLock Lock(&this->Mutex);
+    answer(Out, 200, json(this->Counts));
+  });
+}
+
+// Sleeps for the delay in force, but not once the server stops.
+void PlatformServer::Impl::delayAnswer(const Request &In) {
+  if (In.path.starts_with("/admin"))
+    return;
+  Instant Deadline = monotonicNow();
+  {
+    absl::MutexLock Lock(&this->Mutex);
+    Deadline += absl::Milliseconds(this->Active.DelayMs);
+  }
+  while (!this->Stopping && monotonicNow() < Deadline)
+    absl::SleepFor(std::min(DelaySlice, Deadline - monotonicNow()));
+}
+
+void PlatformServer::Impl::addFaults() {
+  this->Http.set_pre_routing_handler([this](const Request &In, Response &Out) {
+    if (In.path.starts_with("/admin"))
+      return httplib::Server::HandlerResponse::Unhandled;
+    absl::MutexLock Lock(&this->Mutex);
+    ++this->Counts[In.path];
+    if (!this->Active.Down)
+      return httplib::Server::HandlerResponse::Unhandled;
+    answer(Out, 503, {{"error", "down"}});
+    return httplib::Server::HandlerResponse::Handled;
+  });
+  this->Http.set_post_routing_handler(
+      [this](const Request &In, Response &) { this->delayAnswer(In); });
+  this->Http.set_exception_handler(
+      [](const Request &, Response &Out, const std::exception_ptr &Thrown) {
+        try {
+          std::rethrow_exception(Thrown);
+        } catch (const std::exception &E) {
+          answer(Out, 400, {{"error", E.what()}});
+        }
+      });
+}
+
+PlatformServer::PlatformServer() : State(std::make_unique<Impl>()) {
+  Impl &S = *this->State;
+  S.Http.new_task_queue = [] { return new httplib::ThreadPool(ServerThreads); };
+  S.Http.set_tcp_nodelay(true);
+  S.addTableRoutes();
+  S.addObjectRoutes();
+  S.addListRoutes("instances", S.Instances);
+  S.addListRoutes("groups", S.Groups);
+  S.addAdminRoutes();
+  S.addFaults();
+}
+
+PlatformServer::~PlatformServer() { this->stop(); }
+
+Result<int> PlatformServer::start(int Port) {
+  Impl &S = *this->State;
+  S.Port = Port;
+  if (Port == 0)
+    S.Port = S.Http.bind_to_any_port("127.0.0.1");
+  else if (!S.Http.bind_to_port("127.0.0.1", Port))
+    S.Port = -1;
+  if (S.Port < 0)
+    return failure(absl::StrFormat("cannot bind 127.0.0.1:%d: %s", Port, std::strerror(errno)));
+  S.Listener = std::thread([&S] { S.Http.listen_after_bind(); });
+  while (!S.Http.is_running())
+    absl::SleepFor(absl::Milliseconds(1));
+  return S.Port;
+}
+
+void PlatformServer::stop() {
+  Impl &S = *this->State;
+  S.Stopping = true;
+  S.Http.stop();
+  if (S.Listener.joinable())
+    S.Listener.join();
+}
+
+} // namespace toucan::standin
