Pool: tests of dispatch, relay and outcomes, and the faults they showed

Cause: the pure parts had no tests of their own. Change: tests of queue, dispatch, relay and outcome.

--- a/src/pool/dispatch.cpp
+++ b/src/pool/dispatch.cpp
@@ -57,8 +57,12 @@
   this->ReviewParked = true;
   if (S && S->Current == Old)
     return;
-  for (auto &[Id, T] : this->Targets)
+  for (auto &[Id, T] : this->Targets) {
     T.Applied = 0;
+    // Failures of the old term say nothing of the new one.
+    T.Failures = 0;
+    T.OpenAfter = absl::InfinitePast();
+  }
 }
 
 void Dispatcher::observe(const TargetId &At, LogPosition Seen) {
@@ -211,7 +215,7 @@
           .Queued = static_cast<uint32_t>(It->second.Pinned.size())};
 }
 
-Instant Dispatcher::wakeAt() const {
+Instant Dispatcher::wakeAt(Instant Now) const {
   Instant At = absl::InfiniteFuture();
   if (!this->Deadlines.empty())
     At = this->Deadlines.begin()->first;
@@ -220,7 +224,7 @@
   if (this->DeadlineOf.empty())
     return At;
   for (const auto &[Id, T] : this->Targets)
-    if (!T.Connecting && T.Failures > 0 && this->takesNewWork(Id, T))
+    if (!T.Connecting && T.OpenAfter > Now && this->takesNewWork(Id, T))
       At = std::min(At, T.OpenAfter);
   return At;
 }
--- a/src/pool/dispatch.h
+++ b/src/pool/dispatch.h
@@ -87,7 +87,7 @@
   // Everything that can be done now. Actions are counted as carried out when returned.
   std::vector<Action> next(Instant Now);
   // When next() must be called again without an event; InfiniteFuture for never.
-  Instant wakeAt() const;
+  Instant wakeAt(Instant Now) const;
 
   size_t queued() const;
   TargetLoad load(const TargetId &At) const;
--- /dev/null
+++ b/src/pool/dispatch_test.cpp
@@ -0,0 +1,258 @@
+#include "pool/dispatch.h"
+
+#include <doctest/doctest.h>
+
+#include <algorithm>
+
+using namespace toucan;
+using namespace toucan::pool;
+using rules::TargetState;
+using rules::WorkClass;
+
+namespace {
+
+const TargetId P("p");
+const TargetId R1("r1");
+const TargetId R2("r2");
+const Instant T0 = absl::FromUnixSeconds(1000);
+
+Ticket ticket(uint64_t Id, std::string Key = "a") {
+  return {.Id = TicketId(Id),
+          .FairnessKey = std::move(Key),
+          .Arrived = T0,
+          .Deadline = T0 + absl::Seconds(10)};
+}
+
+Ticket longTicket(uint64_t Id) {
+  Ticket T = ticket(Id);
+  T.Class = WorkClass::Long;
+  return T;
+}
+
+Ticket readTicket(uint64_t Id, uint64_t Floor) {
+  Ticket T = ticket(Id);
+  T.ReplicaAllowed = true;
+  T.MaxAge = absl::Seconds(30);
+  T.Floor = {Term(1), Floor};
+  return T;
+}
+
+// A group of three servers with three slots; both replicas have applied position 10.
+struct Bench {
+  explicit Bench(size_t QueueLimit = 1000)
+      : D({.QueueLimit = QueueLimit, .FloorWait = absl::Milliseconds(50)}) {
+    this->Group.Targets = {{.Id = P}, {.Id = R1}, {.Id = R2}};
+    this->Group.SlotsPerTarget = 3;
+    this->Group.ConnectionsPerTarget = 5;
+    this->State = {.Current = Term(1), .Primary = P};
+    for (const TargetId &Id : {P, R1, R2})
+      this->State.Servers.push_back({.Id = Id,
+                                     .Reachable = true,
+                                     .Is = Id == P ? group::Role::Primary : group::Role::Replica,
+                                     .Accepted = Term(1),
+                                     .Applied = 10,
+                                     .CurrentAt = T0});
+    this->update();
+  }
+  void update() {
+    this->D.setGroup(this->Group);
+    this->D.setState(&this->State);
+  }
+  // Opens enough connections everywhere and returns the requests started since the last call, with
+  // their targets.
+  std::vector<std::pair<uint64_t, TargetId>> started(Instant Now = T0) {
+    std::vector<std::pair<uint64_t, TargetId>> Out;
+    for (bool More = true; More;) {
+      More = false;
+      for (const Action &A : this->D.next(Now)) {
+        if (A.Kind == ActionKind::Open)
+          this->D.connected(A.At);
+        if (A.Kind == ActionKind::Start)
+          Out.emplace_back(A.Request.Value, A.At);
+        if (A.Kind == ActionKind::Refuse)
+          this->Refused.emplace_back(A.Request.Value, A.Why);
+        More = true;
+      }
+    }
+    return Out;
+  }
+  void end(const TargetId &At, WorkClass Class = WorkClass::Short) {
+    this->D.ended(At, Class, absl::Milliseconds(10));
+    this->D.released(At);
+  }
+
+  member::Group Group;
+  group::GroupState State;
+  Dispatcher D;
+  std::vector<std::pair<uint64_t, Reason>> Refused;
+};
+
+std::vector<uint64_t> ids(const std::vector<std::pair<uint64_t, TargetId>> &Started) {
+  std::vector<uint64_t> Out(Started.size());
+  std::transform(Started.begin(), Started.end(), Out.begin(),
+                 [](const auto &Pair) { return Pair.first; });
+  return Out;
+}
+
+} // namespace
+
+// Guards against one caller with many requests that delays all others.
+TEST_CASE("keys are served in round robin") {
+  FairQueue Q;
+  for (uint64_t Id : {1, 2, 3})
+    Q.push(ticket(Id, "busy"));
+  Q.push(ticket(4, "quiet"));
+  Q.push(ticket(5, "gone"));
+  CHECK(Q.remove(TicketId(5)));
+  std::vector<uint64_t> Order;
+  while (auto T = Q.take([](const Ticket &) { return true; }, 9))
+    Order.push_back(T->Id.Value);
+  CHECK(Order == std::vector<uint64_t>{1, 4, 2, 3});
+  CHECK(Q.empty());
+}
+
+// Guards against short work that waits for a slot held by long work.
+TEST_CASE("long work never takes the last slot") {
+  Bench B;
+  for (uint64_t Id : {1, 2, 3})
+    CHECK(!B.D.admit(longTicket(Id), T0));
+  CHECK(ids(B.started()) == std::vector<uint64_t>{1, 2});
+  CHECK(!B.D.admit(ticket(4), T0));
+  CHECK(ids(B.started()) == std::vector<uint64_t>{4});
+  CHECK(!B.D.admit(ticket(5), T0));
+  CHECK(B.started().empty());
+  B.end(P, WorkClass::Long);
+  CHECK(ids(B.started()) == std::vector<uint64_t>{5});
+}
+
+// Guards against requests that wait in vain, and against refusals without a hint.
+TEST_CASE("admission refuses what cannot start in time") {
+  Bench B(100);
+  uint64_t Id = 0;
+  while (Id < 50)
+    CHECK(!B.D.admit(ticket(++Id), T0));
+  Ticket Hurried = ticket(++Id);
+  Hurried.Deadline = T0 + absl::Milliseconds(1);
+  auto Refused = B.D.admit(Hurried, T0);
+  REQUIRE(Refused);
+  CHECK(Refused->Why == Reason::QueueDeadline);
+  CHECK(Refused->RetryAfter > absl::ZeroDuration());
+  while (Id < 101)
+    CHECK(!B.D.admit(ticket(++Id), T0));
+  Refused = B.D.admit(ticket(++Id), T0);
+  REQUIRE(Refused);
+  CHECK(Refused->Why == Reason::QueueFull);
+}
+
+// Guards against requests that are refused too early during a change of primary, or never.
+TEST_CASE("requests wait for a primary until their deadline") {
+  Bench B;
+  B.State.Primary.reset();
+  B.update();
+  CHECK(!B.D.admit(ticket(1), T0));
+  CHECK(B.started().empty());
+  CHECK(B.D.wakeAt(T0) == T0 + absl::Seconds(10));
+  SUBCASE("which comes") {
+    B.State.Primary = R1;
+    B.State.Current = Term(2);
+    for (group::ServerState &S : B.State.Servers)
+      S.Accepted = Term(2);
+    B.update();
+    CHECK(B.started() == std::vector<std::pair<uint64_t, TargetId>>{{1, R1}});
+  }
+  SUBCASE("which does not come") {
+    CHECK(B.started(T0 + absl::Seconds(10)).empty());
+    CHECK(B.Refused == std::vector<std::pair<uint64_t, Reason>>{{1, Reason::NoPrimary}});
+    CHECK(B.D.queued() == 0);
+  }
+}
+
+// Guards against reads of a state that is too old or before the floor of the session.
+TEST_CASE("choice of the target of a read") {
+  Bench B;
+  group::ServerState &First = B.State.Servers[1];
+  group::ServerState &Second = B.State.Servers[2];
+  Instant Now = T0;
+  TargetId Want = R2;
+  SUBCASE("position") { First.Applied = 9; }
+  SUBCASE("age") { First.CurrentAt = T0 - absl::Seconds(31); }
+  SUBCASE("unknown age") { First.CurrentAt = absl::InfinitePast(); }
+  SUBCASE("unreachable") { First.Reachable = false; }
+  SUBCASE("old term") { First.Accepted = Term(0); }
+  SUBCASE("fenced") { First.Is = group::Role::Fenced; }
+  SUBCASE("leaving") { B.Group.Targets[1].Status = TargetState::Leaving; }
+  SUBCASE("joining") { B.Group.Targets[1].Status = TargetState::Joining; }
+  SUBCASE("not listed") { B.Group.Targets.erase(B.Group.Targets.begin() + 1); }
+  SUBCASE("none suits") {
+    First.Reachable = false;
+    Second.CurrentAt = absl::InfinitePast();
+    Want = P;
+  }
+  SUBCASE("all behind for long") {
+    First.Applied = Second.Applied = 9;
+    Now = T0 + absl::Milliseconds(50);
+    Want = P;
+  }
+  B.update();
+  CHECK(!B.D.admit(readTicket(1, 10), T0));
+  CHECK(B.started(Now) == std::vector<std::pair<uint64_t, TargetId>>{{1, Want}});
+}
+
+// Guards against replicas that idle beside a full one.
+TEST_CASE("reads are spread over replicas and spill to a primary with room") {
+  Bench B;
+  for (uint64_t Id = 1; Id <= 10; ++Id)
+    CHECK(!B.D.admit(readTicket(Id, 0), T0));
+  std::map<TargetId, int> Load;
+  for (const auto &[Id, At] : B.started())
+    ++Load[At];
+  CHECK(Load == std::map<TargetId, int>{{P, 2}, {R1, 3}, {R2, 3}});
+}
+
+// Guards against a read that goes to the primary although a replica is about to catch up.
+TEST_CASE("a replica that is behind is waited for") {
+  Bench B;
+  CHECK(!B.D.admit(readTicket(1, 12), T0));
+  CHECK(B.started().empty());
+  CHECK(B.D.wakeAt(T0) == T0 + absl::Milliseconds(50));
+  B.D.observe(R2, {Term(1), 12});
+  CHECK(B.started() == std::vector<std::pair<uint64_t, TargetId>>{{1, R2}});
+}
+
+// Guards against work on a target that leaves, except in its open transactions.
+TEST_CASE("a leaving target finishes its transactions only") {
+  Bench B;
+  CHECK(!B.D.admit(ticket(1), T0));
+  CHECK(B.started().size() == 1);
+  B.D.ended(P, WorkClass::Short, std::nullopt);
+  B.Group.Targets[0].Status = TargetState::Leaving;
+  B.update();
+  CHECK(!B.D.admit(ticket(2), T0));
+  Ticket InTransaction = ticket(3);
+  InTransaction.Pinned = P;
+  CHECK(!B.D.admit(InTransaction, T0));
+  CHECK(ids(B.started()) == std::vector<uint64_t>{3});
+}
+
+// Guards against a storm of connection attempts, more connections than the server allows, and a
+// loop that spins while a target cannot be reached.
+TEST_CASE("connections are opened one at a time, within the limit, with a pause after a failure") {
+  Bench B;
+  for (uint64_t Id = 1; Id <= 3; ++Id)
+    CHECK(!B.D.admit(ticket(Id), T0));
+  std::vector<Action> First = B.D.next(T0);
+  REQUIRE(First.size() == 1);
+  CHECK(First[0].Kind == ActionKind::Open);
+  CHECK(B.D.next(T0).empty());
+  B.D.connectFailed(P, T0);
+  CHECK(B.D.next(T0).empty());
+  Instant Again = B.D.wakeAt(T0);
+  CHECK(Again > T0);
+  CHECK(Again < T0 + absl::Seconds(1));
+  CHECK(B.D.next(Again).size() == 1);
+  CHECK(B.D.wakeAt(Again) == T0 + absl::Seconds(10));
+  B.D.connected(P);
+  B.started();
+  CHECK(B.D.load(P).Executing == 3);
+  CHECK(B.D.load(P).Connections <= 5);
+}
--- a/src/pool/execute.cpp
+++ b/src/pool/execute.cpp
@@ -33,7 +33,7 @@
   }
   D.Pumping = false;
   this->InLoop.cancel(D.Wake);
-  Instant Wake = D.Dispatch.wakeAt();
+  Instant Wake = D.Dispatch.wakeAt(this->InLoop.now());
   if (Wake != absl::InfiniteFuture())
     D.Wake = this->InLoop.at(Wake, [this, &D] { this->pump(D); });
 }
@@ -140,9 +140,10 @@
   wire::Frame F;
   wire::ReadStatus Status = wire::ReadStatus::NeedMore;
   while ((Status = C.nextFrame(F)) == wire::ReadStatus::Ready)
-    if (C.Lease.Value == 0 || (F.Type != 'S' && F.Type != 'N'))
+    if (C.Lease.Value == 0 || !readAside(F, C.LastPosition))
       break;
-  if (Status != wire::ReadStatus::NeedMore)
+  bool Clean = Status == wire::ReadStatus::NeedMore && (C.Lease.Value != 0 || C.unread() == 0);
+  if (!Clean)
     this->drop(C, false, "unexpected input while idle");
 }
 
@@ -171,7 +172,7 @@
   TicketId Id = R.Id;
   DatabaseState &D = *R.Database;
   while (std::optional<LogPosition> P = R.Reply->takeUnconfirmed()) {
-    if (*P <= D.Confirmed) {
+    if (coveredBy(D.Confirmed, *P)) {
       R.Reply->confirmed();
       continue;
     }
@@ -243,6 +244,9 @@
   } else if (R.Reply->status() == 'I' && Clean && !C.CancelSent) {
     this->release(C, D);
   } else {
+    // The caller's next request in a transaction that ended here finds no lease of this id.
+    if (R.Reply->status() != 'I')
+      R.Lease = this->NextLease++;
     this->drop(C, false, C.CancelSent ? "a cancel was sent" : "the connection is not clean");
     return;
   }
--- a/src/pool/pool.cpp
+++ b/src/pool/pool.cpp
@@ -1,7 +1,7 @@
 // Messages, admission and the end of requests.
 #include "pool/service.h"
 
-#include "absl/strings/str_format.h"
+#include <algorithm>
 
 namespace toucan::pool {
 
@@ -388,17 +388,25 @@
 // Closes connections that were not used for a while.
 void PoolService::Impl::maintain() {
   Instant Now = this->InLoop.now();
+  size_t Queued = 0;
   for (auto &[Name, D] : this->Databases) {
+    Queued += D->Dispatch.queued();
     std::vector<Connection *> Unused;
     for (Connection *C : D->Idle)
       if (Now - C->IdleSince > this->Options.IdleConnection ||
           D->Dispatch.leaving(C->options().Target))
         Unused.push_back(C);
+    // A drop dispatches, which may put another one to use.
     for (Connection *C : Unused)
-      if (D->Dispatch.surplus(C->options().Target, Now))
+      if (std::find(D->Idle.begin(), D->Idle.end(), C) != D->Idle.end() &&
+          D->Dispatch.surplus(C->options().Target, Now))
         this->drop(*C, false, "idle");
     this->pump(*D);
   }
+  this->Counters.set("pool_queued", static_cast<int64_t>(Queued));
+  this->Counters.set("pool_requests_open", static_cast<int64_t>(this->Requests.size()));
+  this->Counters.set("pool_connections", static_cast<int64_t>(this->Connections.size()));
+  this->Counters.set("pool_leases", static_cast<int64_t>(this->Leases.size()));
   this->Maintenance = this->InLoop.at(Now + MaintenanceInterval, [this] { this->maintain(); });
 }
 
--- a/src/pool/relay.cpp
+++ b/src/pool/relay.cpp
@@ -68,6 +68,22 @@
   return P;
 }
 
+bool coveredBy(LogPosition Confirmed, LogPosition P) {
+  bool Unknown = P == LogPosition(); // nothing was reported
+  return Unknown || (Confirmed.InTerm == P.InTerm && P.Position <= Confirmed.Position);
+}
+
+bool readAside(const wire::Frame &F, LogPosition &Position) {
+  if (F.Type == 'N')
+    return true;
+  if (F.Type != 'S')
+    return false;
+  auto Parameter = wire::parseParameterStatus(F.Body);
+  if (Parameter && Parameter->first == PositionName)
+    Position = parsePosition(Parameter->second).value_or(Position);
+  return Parameter.has_value();
+}
+
 void ChunkBuffer::append(std::string_view Frame) {
   if (this->Chunks.empty() || this->Chunks.back().size() + Frame.size() > this->ChunkBytes)
     this->Chunks.emplace_back();
@@ -103,7 +119,7 @@
     : Plan(std::move(Plan)), Options(Options), Out(Options.ChunkBytes), Held(Options.ChunkBytes),
       Tail(Options.ChunkBytes), LastPosition(Options.LastPosition) {
   assert(!this->Plan.empty());
-  this->Unconfirmed = Options.AtPrimary && Options.LastPosition > Options.Confirmed;
+  this->Unconfirmed = Options.AtPrimary && !coveredBy(Options.Confirmed, Options.LastPosition);
 }
 
 RelayStep Relay::onFrame(const wire::Frame &F) {
--- a/src/pool/relay.h
+++ b/src/pool/relay.h
@@ -30,6 +30,14 @@
 // Parses the value of ParameterStatus group_position, "TERM/POSITION".
 std::optional<LogPosition> parsePosition(std::string_view Value);
 
+// True when a majority is known to have P. A position of an earlier term says nothing of P: the
+// entry may have been removed at the change of primary.
+bool coveredBy(LogPosition Confirmed, LogPosition P);
+
+// Reads a notice or a parameter that comes outside of an answer, and takes over a reported
+// position. False for other frames.
+bool readAside(const wire::Frame &F, LogPosition &Position);
+
 // Collects whole frames into chunks of a limited size; a larger frame is a chunk of its own.
 class ChunkBuffer {
 public:
--- /dev/null
+++ b/src/pool/relay_test.cpp
@@ -0,0 +1,214 @@
+#include "pool/outcome.h"
+#include "pool/relay.h"
+
+#include <doctest/doctest.h>
+
+using namespace toucan;
+using namespace toucan::pool;
+
+namespace {
+
+std::string position(uint64_t At) {
+  return wire::parameterStatus("group_position", "1/" + std::to_string(At));
+}
+
+std::string row(size_t Bytes) {
+  return wire::Writer().begin('D').int16(1).bytes(std::string(Bytes, 'x')).end().take();
+}
+
+const std::string Described = wire::emptyMessage('t') + wire::emptyMessage('T');
+
+// Feeds the bytes of a target and returns the last step.
+RelayStep feed(Relay &R, const std::string &Bytes) {
+  wire::FrameReader Reader(1 << 24);
+  Reader.append(Bytes);
+  wire::Frame F;
+  RelayStep Step = RelayStep::More;
+  while (Reader.next(F) == wire::ReadStatus::Ready)
+    Step = R.onFrame(F);
+  return Step;
+}
+
+std::string taken(Relay &R) {
+  std::string Out;
+  while (auto Chunk = R.takeChunk())
+    Out += *Chunk;
+  return Out;
+}
+
+Relay relayOf(const std::string &Request, const std::set<uint32_t> &Hidden = {},
+              RelayOptions Options = {}) {
+  auto Plan = planReplies(Request, Hidden);
+  REQUIRE(Plan);
+  return {*Plan, Options};
+}
+
+const std::string Parse = wire::parse({.Statement = "s", .Sql = "select 1"});
+const std::string Bind = wire::bind({.Portal = "", .Statement = "s", .Rest = ""});
+const std::string Describe = wire::describe({.Kind = 'S', .Name = "s"});
+const std::string Close = wire::closeObject({.Kind = 'S', .Name = "s"});
+const std::string Execute = wire::execute({});
+
+} // namespace
+
+// Guards against a request that the target would never answer.
+TEST_CASE("requests that are not whole are refused") {
+  CHECK(!planReplies("", {}));
+  CHECK(!planReplies(Parse, {}));
+  CHECK(!planReplies(Parse + wire::sync().substr(1), {}));
+  CHECK(!planReplies(wire::query("x") + "Q", {}));
+  CHECK(!planReplies(wire::emptyMessage('d') + wire::sync(), {}));
+  CHECK(planReplies(Parse + wire::emptyMessage('H') + wire::sync(), {})->size() == 2);
+}
+
+// Guards against replies of the session's own frames that reach the caller.
+TEST_CASE("replies of hidden frames are dropped") {
+  Relay R = relayOf(Close + Parse + Describe + Bind + Execute + wire::sync(), {0, 1});
+  std::string Seen =
+      Described + wire::emptyMessage('2') + row(1) + wire::commandComplete("SELECT 1");
+  CHECK(feed(R, wire::emptyMessage('3') + wire::emptyMessage('1') + Seen +
+                    wire::readyForQuery('T')) == RelayStep::Finished);
+  CHECK(taken(R) == Seen);
+  CHECK(R.complete());
+  CHECK(R.status() == 'T');
+  Relay Set = relayOf(wire::query("set x to 1") + wire::query("select 1"), {0});
+  CHECK(feed(Set, wire::commandComplete("SET") + wire::readyForQuery('I')) == RelayStep::More);
+  CHECK(feed(Set, wire::commandComplete("SELECT 1") + wire::readyForQuery('I')) ==
+        RelayStep::Finished);
+  CHECK(taken(Set) == wire::commandComplete("SELECT 1"));
+}
+
+// Guards against a relay that waits for replies which the target skips after an error.
+TEST_CASE("after an error the rest up to Sync is skipped") {
+  std::string Error = wire::error("ERROR", "42601", "syntax");
+  Relay R = relayOf(Parse + Bind + Execute + wire::sync(), {0});
+  CHECK(feed(R, Error + wire::readyForQuery('I')) == RelayStep::Finished);
+  CHECK(taken(R) == Error);
+  CHECK(R.errorState() == "42601");
+}
+
+// Guards against a cut answer that passes for a complete one.
+TEST_CASE("an answer ends at ReadyForQuery only") {
+  Relay R = relayOf(wire::query("x"));
+  CHECK(feed(R, wire::commandComplete("SELECT 0")) == RelayStep::More);
+  CHECK(!R.complete());
+  CHECK(taken(R).empty());
+  CHECK(feed(R, wire::error("FATAL", "57P01", "fenced")) == RelayStep::Fatal);
+  CHECK(R.fatalText() == "fenced");
+  Relay Extended = relayOf(Parse + Bind + Execute + wire::sync());
+  CHECK(feed(Extended, wire::emptyMessage('1') + wire::readyForQuery('I')) == RelayStep::Malformed);
+  Relay Copy = relayOf(wire::query("copy"));
+  CHECK(feed(Copy, wire::emptyMessage('G')) == RelayStep::Malformed);
+}
+
+// Guards against an acknowledgement before the confirmation, wherever the position is reported.
+TEST_CASE("everything from the CommandComplete on waits for the confirmation") {
+  std::string Done = wire::commandComplete("INSERT 0 1");
+  Relay R = relayOf(wire::query("insert"));
+  SUBCASE("position before CommandComplete") {
+    feed(R, row(1) + position(7) + Done + wire::readyForQuery('I'));
+  }
+  SUBCASE("position before ReadyForQuery") {
+    feed(R, row(1) + Done + position(7) + wire::readyForQuery('I'));
+  }
+  CHECK(R.finished());
+  CHECK(R.takeUnconfirmed() == LogPosition{Term(1), 7});
+  CHECK(!R.takeUnconfirmed());
+  CHECK(taken(R).find(Done) == std::string::npos);
+  CHECK(!R.complete());
+  R.confirmed();
+  taken(R);
+  CHECK(R.complete());
+  CHECK(R.sawNewPosition());
+}
+
+// Guards against a second commit that is acknowledged by the confirmation of the first.
+TEST_CASE("each commit of a request is confirmed") {
+  std::string One = wire::commandComplete("ONE");
+  std::string Two = wire::commandComplete("TWO");
+  Relay R = relayOf(wire::query("a;b"));
+  feed(R, position(7) + One);
+  CHECK(R.takeUnconfirmed()->Position == 7);
+  feed(R, position(8) + Two + wire::readyForQuery('I'));
+  R.confirmed();
+  CHECK(taken(R).empty());
+  CHECK(R.takeUnconfirmed()->Position == 8);
+  R.confirmed();
+  CHECK(taken(R) == One + Two);
+}
+
+// Guards against an answer that shows a write which may be lost, and against a confirmation of an
+// earlier term that is taken for one of this term.
+TEST_CASE("an answer that may show an unconfirmed position waits") {
+  auto Waits = [](LogPosition Confirmed, bool AtPrimary) {
+    Relay R =
+        relayOf(wire::query("x"), {},
+                {.AtPrimary = AtPrimary, .LastPosition = {Term(2), 9}, .Confirmed = Confirmed});
+    feed(R, wire::commandComplete("SELECT 0") + wire::readyForQuery('I'));
+    return R.takeUnconfirmed().has_value();
+  };
+  CHECK(!Waits({Term(2), 9}, true));
+  CHECK(Waits({Term(2), 8}, true));
+  CHECK(Waits({Term(3), 20}, true));
+  CHECK(!Waits({Term(2), 8}, false));
+}
+
+// Guards against unbounded buffers, and against an answer that stops when a buffer is full.
+TEST_CASE("chunks, credit and pauses") {
+  RelayOptions Small{.ChunkBytes = 100, .CreditBytes = 200};
+  SUBCASE("credit") {
+    Relay R = relayOf(wire::query("x"), {}, Small);
+    size_t Sent = 0;
+    for (size_t New = 1; New > 0; Sent += New) {
+      while (R.wantsInput())
+        feed(R, row(20));
+      New = taken(R).size();
+    }
+    CHECK(Sent >= 200);
+    CHECK(Sent < 300);
+    R.credit(Sent);
+    CHECK(R.takeChunk());
+  }
+  SUBCASE("a frame larger than all limits") {
+    Relay R = relayOf(wire::query("x"), {}, Small);
+    feed(R, row(5000));
+    CHECK(!R.wantsInput());
+    CHECK(taken(R) == row(5000));
+    CHECK(R.wantsInput());
+  }
+  SUBCASE("a long result after a commit") {
+    Relay R = relayOf(wire::query("insert; select"), {}, Small);
+    feed(R, position(7) + wire::commandComplete("INSERT 0 1"));
+    CHECK(R.takeUnconfirmed());
+    while (R.wantsInput())
+      feed(R, row(20));
+    CHECK(taken(R).empty());
+    R.confirmed();
+    CHECK(!taken(R).empty());
+    CHECK(R.wantsInput());
+  }
+}
+
+// Guards against a refusal that says "not run" of a request that may have run.
+TEST_CASE("outcome of a lost connection") {
+  auto Outcome = [](LossFacts Facts) {
+    LossOutcome O = outcomeOfLoss(Facts);
+    return std::make_pair(O.Step, O.Why);
+  };
+  CHECK(Outcome({}).first == LossStep::Requeue);
+  CHECK(Outcome({.Read = true}).first == LossStep::Requeue);
+  CHECK(Outcome({.InLease = true}) == std::make_pair(LossStep::Fail, Reason::LeaseUnknown));
+  CHECK(Outcome({.Written = true}) == std::make_pair(LossStep::Fail, Reason::TargetLost));
+  CHECK(Outcome({.Written = true, .TermOver = true}).second == Reason::TermChanged);
+  CHECK(Outcome({.Written = true, .Read = true}).first == LossStep::Retry);
+  CHECK(Outcome({.Written = true, .Relayed = true, .Read = true}) ==
+        std::make_pair(LossStep::Fail, Reason::AnswerIncomplete));
+  CHECK(Outcome({.Written = true, .Read = true, .InLease = true}).first == LossStep::Fail);
+  RetryBudget Budget;
+  int Granted = 0;
+  for (int I = 0; I < 1000; ++I) {
+    Budget.onRequest();
+    Granted += Budget.take() ? 1 : 0;
+  }
+  CHECK(Granted <= 110);
+}
