Keep watching a database while requests for it come here

Cause: instances disagree on the owner for up to a second after a change of membership. A request that reached the former owner waited its whole deadline (30 s, refused as target_unreachable), because that instance no longer watched the group and kept its last state. Ruled out: refusing at once so that the entry instance retries: retries have a budget, and a partition between instances can make the disagreement last. Change: Watcher::keep; the pool tells it while requests, leases or recent use need the state.

--- a/src/group/watcher.h
+++ b/src/group/watcher.h
@@ -42,6 +42,10 @@
 public:
   virtual ~Watcher() = default;
 
+  // Goes on watching a database that this instance does not own, because requests for it come here
+  // while the instances disagree on its owner; or ends that.
+  virtual void keep(const DatabaseName &, bool) {}
+
   // Null when the database is not watched. Valid until the next event.
   virtual const GroupState *state(const DatabaseName &Database) const = 0;
 
--- /dev/null
+++ b/src/pool/keep_test.cpp
@@ -0,0 +1,65 @@
+#include "pool/pool.h"
+#include "wire/wire.h"
+
+#include <doctest/doctest.h>
+
+#include <vector>
+
+using namespace toucan;
+using namespace toucan::pool;
+
+namespace {
+
+// Knows the group only while it is kept, as the service does for a database of another owner.
+class KeptOnly final : public group::Watcher {
+public:
+  std::vector<bool> Calls;
+  group::GroupState Known;
+
+  void keep(const DatabaseName &, bool InUse) override { this->Calls.push_back(InUse); }
+  const group::GroupState *state(const DatabaseName &) const override {
+    return !this->Calls.empty() && this->Calls.back() ? &this->Known : nullptr;
+  }
+  void confirm(const DatabaseName &, LogPosition, Instant,
+               std::function<void(group::ConfirmResult)> Then) override {
+    Then(group::ConfirmResult::Deadline);
+  }
+  void verify(const DatabaseName &, Instant,
+              std::function<void(std::optional<LogPosition>)> Then) override {
+    Then(std::nullopt);
+  }
+};
+
+proto::Envelope read(uint64_t Id) {
+  proto::Envelope M;
+  proto::ExecRequest *E = M.mutable_exec();
+  E->set_request_id(Id);
+  E->set_database("rounds");
+  E->set_kind(proto::READ);
+  E->set_frames(wire::query("select 1"));
+  E->set_budget_us(60'000'000);
+  return M;
+}
+
+} // namespace
+
+// Guards against a request at an instance that has just lost the ownership: it waited for its
+// whole deadline on a group state that nobody kept up to date.
+TEST_CASE("a request for a database makes its group watched, by whomever it is owned") {
+  Loop L;
+  Metrics M;
+  KeptOnly Groups;
+  Groups.Known.Database = DatabaseName("rounds");
+  PoolService Pool(
+      L, {.Self = InstanceId("a")},
+      [](const InstanceId &, const proto::Envelope &) { return true; }, Groups, M);
+  auto View = std::make_shared<member::View>();
+  View->Self = InstanceId("a");
+  View->Groups.push_back({.Name = DatabaseName("rounds"), .SlotsPerTarget = 2});
+  View->Rules = std::make_shared<rules::RuleSet>();
+  View->RulesKnown = true;
+  Pool.onView(View);
+  Pool.onEnvelope(InstanceId("b"), read(1));
+  Pool.onEnvelope(InstanceId("b"), read(2));
+  CHECK(Groups.Calls == std::vector<bool>{true});
+}
--- a/src/pool/pool.cpp
+++ b/src/pool/pool.cpp
@@ -69,6 +69,30 @@
   return Out;
 }
 
+// Tells the watcher whether requests need the state of the database. Without it an instance that
+// has just lost the ownership would serve its last requests by a state that no longer changes.
+void PoolService::Impl::keep(DatabaseState &D, bool InUse) {
+  if (D.Kept == InUse)
+    return;
+  D.Kept = InUse;
+  this->Groups.keep(D.Group.Name, InUse);
+  if (const group::GroupState *S = this->Groups.state(D.Group.Name))
+    this->onGroup(*S);
+  else
+    D.Dispatch.setState(nullptr);
+}
+
+// Decides whether the state of a database is still needed here.
+bool PoolService::Impl::inUse(const DatabaseState &D) const {
+  auto Uses = [&](const auto &Item) { return Item.second->Database == &D; };
+  if (this->InLoop.now() - D.LastRequest < this->Options.IdleConnection ||
+      std::any_of(this->Requests.begin(), this->Requests.end(), Uses))
+    return true;
+  return std::any_of(this->Leases.begin(), this->Leases.end(), [&](const auto &Item) {
+    return Item.second.On->options().Database == D.Group.Name;
+  });
+}
+
 void PoolService::Impl::onView(member::ViewPtr New) {
   this->View = std::move(New);
   for (auto &[Name, D] : this->Databases) {
@@ -161,6 +185,8 @@
   R.Deadline = Now + absl::Microseconds(Exec.budget_us());
   R.Database = this->database(DatabaseName(Exec.database()));
   R.Exec = std::move(Exec);
+  R.Database->LastRequest = Now;
+  this->keep(*R.Database, true);
   this->ByCaller[{From, R.Exec.request_id()}] = R.Id;
   this->Requests[R.Id] = std::move(New);
   if (R.Exec.verify_floor() && R.Exec.lease() == 0)
@@ -391,6 +417,8 @@
   size_t Queued = 0;
   for (auto &[Name, D] : this->Databases) {
     Queued += D->Dispatch.queued();
+    if (D->Kept && !this->inUse(*D))
+      this->keep(*D, false);
     std::vector<Connection *> Unused;
     for (Connection *C : D->Idle)
       if (Now - C->IdleSince > this->Options.IdleConnection ||
--- a/src/pool/service.h
+++ b/src/pool/service.h
@@ -74,6 +74,8 @@
   std::optional<TargetId> Primary;
   std::vector<Connection *> Idle; // the most recently used last
   LogPosition Confirmed;          // highest position that a majority is known to have
+  Instant LastRequest = absl::InfinitePast();
+  bool Kept = false; // the watcher was told that the database is in use
   TimerId Wake;
   bool Pumping = false;
   bool PumpAgain = false;
@@ -87,6 +89,8 @@
   // pool.cpp: messages and admission
   void onView(member::ViewPtr New);
   void onEnvelope(const InstanceId &From, proto::Envelope Message);
+  void keep(DatabaseState &D, bool InUse);
+  bool inUse(const DatabaseState &D) const;
   void onExec(const InstanceId &From, uint64_t Incarnation, proto::ExecRequest Exec);
   Reason admissionProblem(const InstanceId &From, const proto::ExecRequest &Exec) const;
   void onCredit(const InstanceId &From, const proto::Credit &Message);
