Pool: run requests with a request id at most once

Cause: an unrepeatable request whose connection is lost could neither be repeated nor be answered. Change: a write with `once` and request_key runs as BEGIN and INSERT of the id, the request, UPDATE of the outcome and COMMIT; a known id returns the recorded outcome. The table toucanrun_requests is created when it is missing. Such a request is tried again like a read, and before its COMMIT was handed out it certainly has not run. Ruled out: one batch of hidden frames around the request: the outcome is not known before the request has run, and an error of the request would not stop the frames after it. Missing: a request_key inside an explicit transaction is not recorded.

--- a/src/pool/execute.cpp
+++ b/src/pool/execute.cpp
@@ -24,7 +24,7 @@
         this->assign(D, A);
     for (const Action &A : Actions) {
       if (A.Kind == ActionKind::Start)
-        this->begin(D, A.Request);
+        this->begin(A.Request);
       else if (A.Kind == ActionKind::Open)
         this->openConnection(D, A.At);
       else if (Request *R = this->find(A.Request))
@@ -62,7 +62,7 @@
   R->Started = this->InLoop.now();
 }
 
-void PoolService::Impl::begin(DatabaseState &D, TicketId Id) {
+void PoolService::Impl::begin(TicketId Id) {
   Request *R = this->find(Id);
   if (!R || !R->On || R->Abandoned)
     return;
@@ -71,14 +71,37 @@
     this->drop(C, false, "closed by the target while idle");
     return;
   }
-  R->Reply = std::make_unique<Relay>(R->Plan, RelayOptions{.ChunkBytes = this->Options.ChunkBytes,
-                                                           .CreditBytes = this->Options.CreditBytes,
-                                                           .AtPrimary = R->AtPrimary,
-                                                           .LastPosition = C.LastPosition,
-                                                           .Confirmed = D.Confirmed});
+  std::string First = R->Keyed ? R->Keyed->begin() : "";
+  R->Reply = this->newRelay(*R, C.LastPosition);
   R->Timer = this->InLoop.at(R->Deadline, [this, Id] { this->onRequestDeadline(Id); });
   R->Sent = true;
-  C.send(R->Exec.frames());
+  C.send(R->Keyed ? First : R->Exec.frames());
+}
+
+std::unique_ptr<Relay> PoolService::Impl::newRelay(const Request &R, LogPosition Last) const {
+  return std::make_unique<Relay>(R.Keyed ? R.Keyed->plan() : R.Plan,
+                                 RelayOptions{.ChunkBytes = this->Options.ChunkBytes,
+                                              .CreditBytes = this->Options.CreditBytes,
+                                              .AtPrimary = R.AtPrimary,
+                                              .LastPosition = Last,
+                                              .Confirmed = R.Database->Confirmed,
+                                              .Collect = R.Keyed != nullptr});
+}
+
+bool PoolService::Impl::nextStep(Request &R) {
+  if (!R.Keyed || R.Abandoned)
+    return false;
+  std::string Next = R.Keyed->onReply({.Frames = R.Reply->takeAll(),
+                                       .ErrorState = R.Reply->errorState(),
+                                       .CommandTag = R.Reply->commandTag(),
+                                       .Status = R.Reply->status()});
+  if (Next.empty()) {
+    R.Reply->answerWith(R.Keyed->answer());
+    return false;
+  }
+  R.Reply = this->newRelay(R, R.Reply->position());
+  R.On->send(Next);
+  return true;
 }
 
 void PoolService::Impl::cancelAtTarget(Connection &C) {
@@ -93,12 +116,12 @@
   Request *R = this->find(Id);
   if (!R || !R->On || R->Abandoned)
     return;
-  bool Complete = R->Sent && R->On->written();
+  bool Complete = R->Sent && R->On->written() && (!R->Keyed || R->Keyed->committing());
   if (Complete) {
     this->fail(*R, Reason::RequestDeadline, Verdict::MayHaveRun);
     return;
   }
-  // The target never took the whole request: it counts as lost.
+  // The target cannot have run it, so it goes back to the queue, which refuses it as not run.
   this->drop(*R->On, false, "the target did not take the request before its deadline");
 }
 
@@ -113,6 +136,8 @@
   wire::ReadStatus Status = wire::ReadStatus::NeedMore;
   while ((Status = C.nextFrame(F)) == wire::ReadStatus::Ready) {
     RelayStep Step = R->Reply->onFrame(F);
+    if (Step == RelayStep::Finished && this->nextStep(*R))
+      continue;
     if (Step == RelayStep::Finished) {
       this->answered(*R);
       this->progress(Id);
@@ -153,7 +178,7 @@
   Request *R = this->find(Id);
   if (!R || !R->Reply)
     return;
-  if (!R->Abandoned) {
+  if (!R->Abandoned && !R->Reply->collecting()) {
     this->confirm(*R);
     R = this->find(Id); // the callback may have ended it
     if (!R || !R->Reply)
@@ -266,7 +291,8 @@
   D.set_lease(R.Lease);
   D.mutable_observed()->set_term(R.Reply->position().InTerm.Value);
   D.mutable_observed()->set_position(R.Reply->position().Position);
-  D.set_wrote(R.AtPrimary && !R.read() && R.Reply->sawNewPosition());
+  // The outcome of a recorded request is a write, also when another request has made it.
+  D.set_wrote(R.AtPrimary && !R.read() && (R.Keyed || R.Reply->sawNewPosition()));
   D.set_target(R.Target.Value);
   D.set_by_replica(!R.AtPrimary);
   D.set_chunks(R.Reply->chunksSent());
@@ -296,7 +322,9 @@
     this->Requests.erase(R.Id);
     return;
   }
-  LossOutcome Outcome = outcomeOfLoss({.Written = R.Sent && Written,
+  // Up to its COMMIT, a request with an id is rolled back by the end of the connection.
+  bool Complete = R.Sent && Written && (!R.Keyed || R.Keyed->committing());
+  LossOutcome Outcome = outcomeOfLoss({.Written = Complete,
                                        .Relayed = R.Reply && R.Reply->chunksSent() > 0,
                                        .Read = R.repeatable(),
                                        .InLease = R.Exec.lease() != 0,
--- /dev/null
+++ b/src/pool/keyed.cpp
@@ -0,0 +1,164 @@
+#include "pool/keyed.h"
+
+#include "absl/strings/str_format.h"
+
+#include <algorithm>
+
+namespace toucan::pool {
+
+namespace {
+
+constexpr std::string_view UniqueViolation = "23505";
+constexpr std::string_view UndefinedTable = "42P01";
+// Bounds the repetitions after a missing table or a record that has just been removed.
+constexpr int MaxRestarts = 2;
+
+std::string literal(std::string_view Text) {
+  std::string Out = "'";
+  for (char C : Text)
+    Out.append(C == '\'' ? 2 : 1, C);
+  return Out + "'";
+}
+
+// The first column of the first row; empty without a row.
+std::optional<std::string> firstValue(std::string_view Frames) {
+  wire::FrameReader Reader(Frames.size());
+  Reader.append(Frames);
+  wire::Frame F;
+  while (Reader.next(F) == wire::ReadStatus::Ready) {
+    if (F.Type != 'D')
+      continue;
+    wire::BodyReader Body(F.Body);
+    int16_t Columns = Body.int16();
+    int32_t Length = Body.int32();
+    if (Columns != 1 || Length < 0)
+      return std::nullopt;
+    return std::string(Body.bytes(static_cast<size_t>(Length)));
+  }
+  return std::nullopt;
+}
+
+} // namespace
+
+bool executes(const std::vector<Expected> &Plan) {
+  return std::any_of(Plan.begin(), Plan.end(), [](const Expected &E) {
+    return !E.Hidden && (E.Type == 'Q' || E.Type == 'E');
+  });
+}
+
+KeyedRequest::KeyedRequest(std::string_view Key, std::string Frames, std::vector<Expected> Plan)
+    : Key(literal(Key)), Frames(std::move(Frames)), Plan(std::move(Plan)) {}
+
+std::string KeyedRequest::go(Step Next, std::string_view Sql) {
+  this->At = Next;
+  return wire::query(Sql);
+}
+
+std::string KeyedRequest::begin() {
+  this->Answer.clear();
+  return this->go(
+      Step::Record,
+      absl::StrFormat("BEGIN; INSERT INTO toucanrun_requests (id, outcome) VALUES (%s, '')",
+                      this->Key));
+}
+
+std::vector<Expected> KeyedRequest::plan() const {
+  if (this->At == Step::Run)
+    return this->Plan;
+  return {{.Type = 'Q', .Hidden = false}};
+}
+
+std::string KeyedRequest::onReply(const StepReply &Reply) {
+  switch (this->At) {
+  case Step::Record:
+    return this->afterRecord(Reply);
+  case Step::CreateTable:
+    // Another instance may have created it in the same moment: an error shows at the next INSERT.
+    return this->begin();
+  case Step::Run:
+    return this->afterRun(Reply);
+  case Step::Commit:
+    if (!Reply.ErrorState.empty())
+      return this->finishWith(Reply.Frames, Reply.Status);
+    if (Reply.CommandTag != "COMMIT")
+      this->Answer = wire::error("ERROR", "40000", "the transaction was rolled back");
+    return "";
+  case Step::ReadOutcome:
+    return this->afterReadOutcome(Reply);
+  case Step::Rollback:
+    return "";
+  }
+  return "";
+}
+
+std::string KeyedRequest::afterRecord(const StepReply &Reply) {
+  if (Reply.ErrorState.empty()) {
+    this->At = Step::Run;
+    return this->Frames;
+  }
+  if (Reply.ErrorState == UniqueViolation)
+    return this->go(
+        Step::ReadOutcome,
+        absl::StrFormat("ROLLBACK; SELECT outcome FROM toucanrun_requests WHERE id = %s",
+                        this->Key));
+  if (Reply.ErrorState == UndefinedTable && this->Restarts++ < MaxRestarts)
+    return this->go(Step::CreateTable, "ROLLBACK; CREATE TABLE IF NOT EXISTS toucanrun_requests "
+                                       "(id text PRIMARY KEY, outcome text NOT NULL)");
+  return this->finishWith(Reply.Frames, Reply.Status);
+}
+
+std::string KeyedRequest::afterRun(const StepReply &Reply) {
+  if (!Reply.ErrorState.empty())
+    return this->finishWith(Reply.Frames, Reply.Status);
+  this->Answer = Reply.Frames;
+  return this->go(
+      Step::Commit,
+      absl::StrFormat("UPDATE toucanrun_requests SET outcome = %s WHERE id = %s; COMMIT",
+                      literal(Reply.CommandTag), this->Key));
+}
+
+std::string KeyedRequest::afterReadOutcome(const StepReply &Reply) {
+  if (!Reply.ErrorState.empty())
+    return this->finishWith(Reply.Frames, Reply.Status);
+  std::optional<std::string> Outcome = firstValue(Reply.Frames);
+  if (Outcome) {
+    this->Answer = this->outcomeAnswer(*Outcome);
+    return "";
+  }
+  if (this->Restarts++ < MaxRestarts)
+    return this->begin();
+  return this->finishWith(wire::error("ERROR", "40001", "the record of the request id is unstable"),
+                          Reply.Status);
+}
+
+// Ends with an answer, after a ROLLBACK when the transaction is still open.
+std::string KeyedRequest::finishWith(std::string Frames, char Status) {
+  this->Answer = std::move(Frames);
+  if (Status == 'I') {
+    this->At = Step::Rollback;
+    return "";
+  }
+  return this->go(Step::Rollback, "ROLLBACK");
+}
+
+// The replies that the request would have got, with the first outcome and without rows.
+std::string KeyedRequest::outcomeAnswer(std::string_view Outcome) const {
+  std::string Out;
+  for (const Expected &E : this->Plan) {
+    if (E.Hidden)
+      continue;
+    if (E.Type == 'P')
+      Out += wire::emptyMessage('1');
+    else if (E.Type == 'B')
+      Out += wire::emptyMessage('2');
+    else if (E.Type == 'C')
+      Out += wire::emptyMessage('3');
+    else if (E.Type == 'D')
+      Out += wire::emptyMessage('n');
+    else if (E.Type != 'S')
+      Out += wire::commandComplete(Outcome);
+  }
+  return Out;
+}
+
+} // namespace toucan::pool
--- /dev/null
+++ b/src/pool/keyed.h
@@ -0,0 +1,66 @@
+// An unrepeatable request with a request id: its id is recorded in the same transaction at the
+// target, so that a repetition returns the first outcome and does not run again. Pure.
+#ifndef TOUCAN_POOL_KEYED_H
+#define TOUCAN_POOL_KEYED_H
+
+#include "pool/relay.h"
+
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace toucan::pool {
+
+// The reply to one step, collected by a Relay.
+struct StepReply {
+  std::string Frames;
+  std::string ErrorState; // SQLSTATE; empty without an error
+  std::string CommandTag; // of the last CommandComplete
+  char Status = 'I';
+};
+
+// True when the request executes something; only then its id may be used up.
+bool executes(const std::vector<Expected> &Plan);
+
+// Runs a request in the steps
+//   BEGIN and INSERT of the id; the request; UPDATE of the outcome and COMMIT.
+// A key that exists already leads to ROLLBACK and SELECT of the outcome. A missing table is
+// created. After an error the transaction is rolled back, and the id is not used up.
+class KeyedRequest {
+public:
+  KeyedRequest(std::string_view Key, std::string Frames, std::vector<Expected> Plan);
+
+  // Starts from the first step, on any connection; returns its frames.
+  std::string begin();
+  // Takes the reply to a step and returns the frames of the next one; empty when the answer is
+  // final.
+  std::string onReply(const StepReply &Reply);
+  // The replies to expect for the present step.
+  std::vector<Expected> plan() const;
+  // The COMMIT has been handed out: the request may have run. Before, the end of the connection
+  // rolls everything back.
+  bool committing() const { return this->At == Step::Commit; }
+  // Frames for the caller, without ReadyForQuery.
+  const std::string &answer() const { return this->Answer; }
+
+private:
+  enum class Step : uint8_t { Record, CreateTable, Run, Commit, ReadOutcome, Rollback };
+
+  std::string go(Step Next, std::string_view Sql);
+  std::string afterRecord(const StepReply &Reply);
+  std::string afterRun(const StepReply &Reply);
+  std::string afterReadOutcome(const StepReply &Reply);
+  std::string finishWith(std::string Frames, char Status);
+  std::string outcomeAnswer(std::string_view Outcome) const;
+
+  std::string Key; // as an SQL literal
+  std::string Frames;
+  std::vector<Expected> Plan;
+  Step At = Step::Record;
+  int Restarts = 0;
+  std::string Answer;
+};
+
+} // namespace toucan::pool
+
+#endif // TOUCAN_POOL_KEYED_H
--- a/src/pool/pool.cpp
+++ b/src/pool/pool.cpp
@@ -144,7 +144,8 @@
   Reason Problem = this->admissionProblem(From, Exec);
   std::set<uint32_t> Hidden(Exec.hidden().begin(), Exec.hidden().end());
   auto Plan = planReplies(Exec.frames(), Hidden);
-  if (Problem == Reason::None && !Plan)
+  bool BadKey = Exec.request_key().find('\0') != std::string::npos;
+  if (Problem == Reason::None && (!Plan || BadKey))
     Problem = Reason::ProtocolViolation;
   if (Problem != Reason::None) {
     this->refuse(From, Exec, Problem);
@@ -161,6 +162,10 @@
   R.Deadline = Now + absl::Microseconds(Exec.budget_us());
   R.Database = this->database(DatabaseName(Exec.database()));
   R.Exec = std::move(Exec);
+  bool Recorded = R.Exec.once() && !R.Exec.request_key().empty() && R.Exec.lease() == 0 &&
+                  R.Exec.kind() == proto::WRITE && executes(R.Plan);
+  if (Recorded)
+    R.Keyed = std::make_unique<KeyedRequest>(R.Exec.request_key(), R.Exec.frames(), R.Plan);
   this->ByCaller[{From, R.Exec.request_id()}] = R.Id;
   this->Requests[R.Id] = std::move(New);
   if (R.Exec.verify_floor() && R.Exec.lease() == 0)
--- a/src/pool/pool_test.cpp
+++ b/src/pool/pool_test.cpp
@@ -9,6 +9,7 @@
 
 #include <algorithm>
 #include <memory>
+#include <set>
 #include <thread>
 
 using namespace toucan;
@@ -382,6 +383,50 @@
   CHECK(T.Counters.value(Reason::RetryReplicaBehind) == 1);
 }
 
+// Guards against a booking that is made twice, or whose outcome is lost with its connection.
+TEST_CASE("a request with an id runs once although its connection is lost at the commit") {
+  std::set<std::string> Recorded;
+  bool Lose = true;
+  Rig T([&](FakeTarget &Self, int Fd, const wire::Frame &F) {
+    std::string Sql = *wire::parseQuery(F.Body);
+    if (Sql.starts_with("BEGIN") && !Recorded.empty())
+      return wire::error("ERROR", "23505", "exists") + wire::readyForQuery('E');
+    if (Sql.starts_with("ROLLBACK; SELECT"))
+      return wire::Writer().begin('D').int16(1).int32(10).bytes("INSERT 0 1").end().take() +
+             answer("SELECT 1");
+    if (Sql.ends_with("COMMIT")) {
+      Recorded.insert(Sql);
+      if (std::exchange(Lose, false)) {
+        Self.end(Fd);
+        return std::string();
+      }
+      return wire::parameterStatus("group_position", "5/12") + answer("COMMIT");
+    }
+    return wire::commandComplete("INSERT 0 1") + wire::readyForQuery('T');
+  });
+  SUBCASE("lost") {}
+  SUBCASE("not lost") { Lose = false; }
+  T.send([](proto::Envelope &E) {
+    proto::ExecRequest &R = *E.mutable_exec();
+    R.set_request_id(1);
+    R.set_database("db");
+    R.set_kind(proto::WRITE);
+    R.set_once(true);
+    R.set_request_key("it's");
+    R.set_frames(wire::query("book"));
+    R.set_budget_us(3'000'000);
+  });
+  proto::Done D = T.done(1);
+  CHECK(is(D, proto::RAN, Reason::None));
+  CHECK(D.wrote());
+  T.in([&] {
+    CHECK(T.Frames[1] == wire::commandComplete("INSERT 0 1"));
+    CHECK(Recorded == std::set<std::string>{"UPDATE toucanrun_requests SET outcome = 'INSERT 0 1' "
+                                            "WHERE id = 'it''s'; COMMIT"});
+    CHECK(std::count(T.Primary.Queries.begin(), T.Primary.Queries.end(), "book") == 1);
+  });
+}
+
 // Guards against credit that is ignored and an answer that stops for good.
 TEST_CASE("a long answer is sent under credit") {
   Rig T([](auto &, int, const auto &) {
--- a/src/pool/relay.cpp
+++ b/src/pool/relay.cpp
@@ -259,8 +259,28 @@
     this->Out.moveFrom(this->Tail);
 }
 
+std::string Relay::takeAll() {
+  this->Out.moveFrom(this->Held);
+  this->Out.moveFrom(this->Tail);
+  std::string All;
+  while (std::optional<std::string> Chunk = this->Out.take(true))
+    All += *Chunk;
+  return All;
+}
+
+void Relay::answerWith(std::string_view Frames) {
+  assert(this->Finished);
+  this->takeAll();
+  this->Options.Collect = false;
+  wire::FrameReader Reader(Frames.size());
+  Reader.append(Frames);
+  wire::Frame F;
+  while (Reader.next(F) == wire::ReadStatus::Ready)
+    (this->Unconfirmed ? this->Tail : this->Out).append(F.Whole);
+}
+
 std::optional<std::string> Relay::takeChunk() {
-  if (this->SentBytes >= this->CreditedBytes + this->Options.CreditBytes)
+  if (this->Options.Collect || this->SentBytes >= this->CreditedBytes + this->Options.CreditBytes)
     return std::nullopt;
   std::optional<std::string> Chunk = this->Out.take(this->Finished && !this->Unconfirmed);
   if (!Chunk)
@@ -277,10 +297,14 @@
 // A chunk that is not full is not sent before the end of the answer, so reading must go on at least
 // until one is full.
 bool Relay::wantsInput() const {
+  if (this->Options.Collect)
+    return true;
   return this->Out.bytes() <= std::max(this->Options.CreditBytes, this->Options.ChunkBytes) &&
          this->Held.bytes() + this->Tail.bytes() <= this->Options.CreditBytes;
 }
 
-bool Relay::complete() const { return this->Finished && !this->Unconfirmed && this->Out.empty(); }
+bool Relay::complete() const {
+  return this->Finished && !this->Options.Collect && !this->Unconfirmed && this->Out.empty();
+}
 
 } // namespace toucan::pool
--- a/src/pool/relay.h
+++ b/src/pool/relay.h
@@ -65,6 +65,7 @@
   // Known to be confirmed. An answer of the primary that may show a later position is held as well:
   // a write that the caller has seen must not be lost either.
   LogPosition Confirmed;
+  bool Collect = false; // keep the answer for takeAll() instead of chunks
 };
 
 enum class RelayStep : uint8_t {
@@ -86,6 +87,12 @@
   // A majority has the position that was returned last.
   void confirmed();
 
+  // The collected answer; without a position to wait for.
+  std::string takeAll();
+  // Ends the collection: the answer for the caller is Frames, held like any other.
+  void answerWith(std::string_view Frames);
+  bool collecting() const { return this->Options.Collect; }
+
   // The next chunk that may be sent under the credit.
   std::optional<std::string> takeChunk();
   void credit(uint64_t Bytes);
--- a/src/pool/relay_test.cpp
+++ b/src/pool/relay_test.cpp
@@ -1,3 +1,4 @@
+#include "pool/keyed.h"
 #include "pool/outcome.h"
 #include "pool/relay.h"
 
@@ -189,6 +190,41 @@
   }
 }
 
+// Guards against an id that is used up by a request that failed or executes nothing, and against an
+// extended-protocol caller that gets replies it cannot match.
+TEST_CASE("steps of a request with an id") {
+  std::string Whole = Parse + Bind + Execute + wire::sync();
+  KeyedRequest K("k", Whole, *planReplies(Whole, {0}));
+  CHECK(!executes(*planReplies(Parse + wire::sync(), {})));
+  CHECK(executes(K.plan()));
+  StepReply Ok{.CommandTag = "INSERT 0 1", .Status = 'T'};
+  std::string Record = K.begin();
+  SUBCASE("the table does not exist") {
+    CHECK(K.onReply({.ErrorState = "42P01", .Status = 'E'}).find("CREATE TABLE") !=
+          std::string::npos);
+    CHECK(K.onReply({}) == Record);
+    CHECK(K.onReply(Ok) == Whole);
+    CHECK(!K.committing());
+    CHECK(K.onReply(Ok).find("COMMIT") != std::string::npos);
+    CHECK(K.committing());
+    CHECK(K.onReply({.CommandTag = "COMMIT"}).empty());
+  }
+  SUBCASE("the request fails") {
+    K.onReply(Ok);
+    CHECK(K.onReply({.Frames = "error", .ErrorState = "22012", .Status = 'E'}) ==
+          wire::query("ROLLBACK"));
+    CHECK(K.onReply({.CommandTag = "ROLLBACK"}).empty());
+    CHECK(K.answer() == "error");
+    CHECK(!K.committing());
+  }
+  SUBCASE("the id is known") {
+    CHECK(K.onReply({.ErrorState = "23505", .Status = 'E'}).find("SELECT") != std::string::npos);
+    std::string Row = wire::Writer().begin('D').int16(1).int32(8).bytes("DELETE 3").end().take();
+    CHECK(K.onReply({.Frames = Row, .CommandTag = "SELECT 1"}).empty());
+    CHECK(K.answer() == wire::emptyMessage('2') + wire::commandComplete("DELETE 3"));
+  }
+}
+
 // Guards against a refusal that says "not run" of a request that may have run.
 TEST_CASE("outcome of a lost connection") {
   auto Outcome = [](LossFacts Facts) {
--- a/src/pool/service.h
+++ b/src/pool/service.h
@@ -4,6 +4,7 @@
 
 #include "pool/connection.h"
 #include "pool/dispatch.h"
+#include "pool/keyed.h"
 #include "pool/outcome.h"
 #include "pool/pool.h"
 #include "pool/relay.h"
@@ -41,6 +42,7 @@
   Connection *On = nullptr; // while running
   bool Sent = false;        // the frames were given to the connection
   std::unique_ptr<Relay> Reply;
+  std::unique_ptr<KeyedRequest> Keyed; // unrepeatable, with a request id
   TargetId Target;
   bool AtPrimary = true;
   bool Abandoned = false; // the answer is read and dropped
@@ -48,7 +50,8 @@
   TimerId Timer;          // deadline while running or verifying
 
   bool read() const { return this->Exec.kind() == proto::READ; }
-  bool repeatable() const { return this->read() && !this->Exec.once(); }
+  // A request with a recorded id returns its first outcome when it is sent again.
+  bool repeatable() const { return this->Keyed || (this->read() && !this->Exec.once()); }
   rules::WorkClass workClass() const {
     return this->Exec.work_class() == proto::LONG ? rules::WorkClass::Long
                                                   : rules::WorkClass::Short;
@@ -115,8 +118,11 @@
   // execute.cpp: one request on a connection
   void pump(DatabaseState &D);
   void assign(DatabaseState &D, const Action &A);
-  void begin(DatabaseState &D, TicketId Id);
+  void begin(TicketId Id);
   void cancelAtTarget(Connection &C);
+  std::unique_ptr<Relay> newRelay(const Request &R, LogPosition Last) const;
+  // Goes on to the next step of a request with an id; false after the last one.
+  bool nextStep(Request &R);
   void onRequestDeadline(TicketId Id);
   void onInput(Connection &C) override;
   void onIdleInput(Connection &C);
