Add toucanctl

Change: instances are asked at the same time, each by a DEALER socket, with one deadline. rules apply keeps the texts of the last 1,000 versions as objects of the platform. Instances that others report as alive must confirm as well, since the platform's list lags. A repeated apply of the text in force writes nothing and asks for confirmation again. The new setting confirm-ms bounds the wait for confirmation, since timeout-ms bounds a platform call.

--- /dev/null
+++ b/src/ctl/ask.cpp
@@ -0,0 +1,127 @@
+#include "ctl/ask.h"
+
+#include "absl/strings/str_format.h"
+
+#include <sys/resource.h>
+#include <zmq.hpp>
+
+#include <algorithm>
+#include <chrono>
+
+namespace toucan::ctl {
+
+namespace {
+
+constexpr int SpareSockets = 16;
+
+// One socket and one connection for each instance need more descriptors than the usual soft limit
+// of 1,024 when there are thousands of instances.
+void raiseDescriptorLimit() {
+  rlimit Limit{};
+  if (getrlimit(RLIMIT_NOFILE, &Limit) != 0)
+    return;
+  Limit.rlim_cur = Limit.rlim_max;
+  setrlimit(RLIMIT_NOFILE, &Limit);
+}
+
+// The sockets of one askAll(). A socket is closed when its answer has arrived.
+class Round {
+public:
+  Round(const std::vector<Peer> &Peers, proto::Envelope::BodyCase Expected)
+      : Peers(Peers), Expected(Expected), Answers(Peers.size()) {
+    this->Context.set(zmq::ctxopt::max_sockets, static_cast<int>(Peers.size()) + SpareSockets);
+  }
+
+  void send(const std::string &Bytes) {
+    for (size_t I = 0; I < this->Peers.size(); ++I) {
+      this->Answers[I].Id = this->Peers[I].Id;
+      this->Sockets.emplace_back();
+      try {
+        zmq::socket_t Socket(this->Context, zmq::socket_type::dealer);
+        Socket.set(zmq::sockopt::linger, 0);
+        Socket.connect(absl::StrFormat("tcp://%s", this->Peers[I].LinkEndpoint));
+        if (Socket.send(zmq::buffer(Bytes), zmq::send_flags::dontwait))
+          this->Sockets.back() = std::move(Socket);
+        else
+          this->Answers[I].Problem = this->at(I, "the question could not be queued");
+      } catch (const zmq::error_t &E) {
+        this->Answers[I].Problem = this->at(I, E.what());
+      }
+    }
+  }
+
+  std::vector<Answer> receive(Instant Deadline) {
+    Instant Start = monotonicNow();
+    while (this->poll(Deadline)) {
+    }
+    for (size_t I = 0; I < this->Peers.size(); ++I)
+      if (this->Sockets[I])
+        this->Answers[I].Problem = this->at(
+            I, absl::StrFormat("no answer within %d ms",
+                               std::max<int64_t>(0, absl::ToInt64Milliseconds(Deadline - Start))));
+    return std::move(this->Answers);
+  }
+
+private:
+  std::string at(size_t I, std::string_view Cause) const {
+    return absl::StrFormat("tcp://%s: %s", this->Peers[I].LinkEndpoint, Cause);
+  }
+
+  // Waits for the next answers; false when none is open or the deadline has passed.
+  bool poll(Instant Deadline) {
+    std::vector<zmq::pollitem_t> Items;
+    std::vector<size_t> Indexes;
+    for (size_t I = 0; I < this->Sockets.size(); ++I) {
+      if (!this->Sockets[I])
+        continue;
+      Items.push_back({this->Sockets[I].handle(), 0, ZMQ_POLLIN, 0});
+      Indexes.push_back(I);
+    }
+    absl::Duration Left = Deadline - monotonicNow();
+    if (Items.empty() || Left <= absl::ZeroDuration())
+      return false;
+    zmq::poll(Items, std::chrono::milliseconds(absl::ToInt64Milliseconds(Left) + 1));
+    for (size_t N = 0; N < Items.size(); ++N)
+      if (Items[N].revents & ZMQ_POLLIN)
+        this->take(Indexes[N]);
+    return true;
+  }
+
+  void take(size_t I) {
+    zmq::message_t Frame;
+    if (!this->Sockets[I].recv(Frame, zmq::recv_flags::dontwait))
+      return;
+    Answer &Into = this->Answers[I];
+    proto::Envelope Message;
+    if (Frame.more() || !Message.ParseFromArray(Frame.data(), static_cast<int>(Frame.size())))
+      Into.Problem = this->at(I, "the answer is not one frame with an Envelope");
+    else if (!Message.from().empty() && Message.from() != Into.Id.Value)
+      Into.Problem =
+          this->at(I, absl::StrFormat("instance \"%s\" answers at this address", Message.from()));
+    else if (Message.body_case() != this->Expected)
+      Into.Problem = this->at(I, absl::StrFormat("answer with body %d, expected %d",
+                                                 static_cast<int>(Message.body_case()),
+                                                 static_cast<int>(this->Expected)));
+    else
+      Into.Message = std::move(Message);
+    this->Sockets[I].close();
+  }
+
+  const std::vector<Peer> &Peers;
+  proto::Envelope::BodyCase Expected;
+  zmq::context_t Context;
+  std::vector<zmq::socket_t> Sockets; // empty once answered or failed
+  std::vector<Answer> Answers;
+};
+
+} // namespace
+
+std::vector<Answer> askAll(const std::vector<Peer> &Peers, const proto::Envelope &Question,
+                           proto::Envelope::BodyCase Expected, Instant Deadline) {
+  raiseDescriptorLimit();
+  Round R(Peers, Expected);
+  R.send(Question.SerializeAsString());
+  return R.receive(Deadline);
+}
+
+} // namespace toucan::ctl
--- /dev/null
+++ b/src/ctl/ctl_test.cpp
@@ -0,0 +1,257 @@
+#include "ctl/apply.h"
+#include "ctl/ctl.h"
+#include "member/view.h"
+#include "standin/platform/server.h"
+
+#include "absl/strings/str_format.h"
+
+#include <doctest/doctest.h>
+#include <httplib.h>
+#include <zmq.hpp>
+
+#include <atomic>
+#include <cstdio>
+#include <fstream>
+#include <functional>
+#include <sstream>
+#include <thread>
+#include <unistd.h>
+
+using namespace toucan;
+using namespace toucan::ctl;
+
+namespace {
+
+Answer statusAnswer(const std::string &Id, uint64_t Version,
+                    const std::vector<std::pair<std::string, member::State>> &Members = {}) {
+  Answer A{.Id = InstanceId(Id), .Message = proto::Envelope(), .Problem = {}};
+  A.Message->set_from(Id);
+  auto *Reply = A.Message->mutable_status_reply();
+  Reply->mutable_self()->set_rules_version(Version);
+  Reply->mutable_self()->set_state(static_cast<uint32_t>(member::State::Alive));
+  Reply->set_rules_known(true);
+  for (const auto &[Name, State] : Members) {
+    auto *M = Reply->add_members();
+    M->set_instance(Name);
+    M->set_state(static_cast<uint32_t>(State));
+  }
+  return A;
+}
+
+Peer peer(const std::string &Id) { return {.Id = InstanceId(Id), .LinkEndpoint = "h:1"}; }
+
+// An instance that answers with what Reply makes of a question, in a thread of its own.
+class FakeInstance {
+public:
+  using Handler = std::function<proto::Envelope(const proto::Envelope &)>;
+  explicit FakeInstance(Handler Reply) : Reply(std::move(Reply)) {
+    this->Socket.set(zmq::sockopt::rcvtimeo, 20);
+    this->Socket.bind("tcp://127.0.0.1:*");
+    this->Endpoint = this->Socket.get(zmq::sockopt::last_endpoint).substr(6);
+    this->Thread = std::thread([this] { this->serve(); });
+  }
+  ~FakeInstance() {
+    this->Stopping = true;
+    this->Thread.join();
+  }
+  std::string Endpoint;
+
+private:
+  void serve() {
+    while (!this->Stopping) {
+      zmq::message_t Sender, Frame;
+      if (!this->Socket.recv(Sender) || !this->Socket.recv(Frame))
+        continue;
+      proto::Envelope Question;
+      Question.ParseFromArray(Frame.data(), static_cast<int>(Frame.size()));
+      this->Socket.send(Sender, zmq::send_flags::sndmore);
+      this->Socket.send(zmq::buffer(this->Reply(Question).SerializeAsString()),
+                        zmq::send_flags::none);
+    }
+  }
+  Handler Reply;
+  zmq::context_t Context;
+  zmq::socket_t Socket{this->Context, zmq::socket_type::router};
+  std::atomic<bool> Stopping = false;
+  std::thread Thread;
+};
+
+// Stand-in platform, two instances and a rules file.
+struct Fixture {
+  standin::PlatformServer Platform;
+  std::string Url =
+      absl::StrFormat("http://127.0.0.1:%d", *capture([&] { return this->Platform.start(0); }));
+  std::atomic<uint64_t> Version = 0; // of the second instance; the first has the newest one
+  FakeInstance First{[](const proto::Envelope &) { return *statusAnswer("i1", 99).Message; }};
+  FakeInstance Second{
+      [this](const proto::Envelope &) { return *statusAnswer("i2", this->Version).Message; }};
+  std::string File = absl::StrFormat("/tmp/toucan-ctl-test-%d.rules", getpid());
+  std::ostringstream Out, Err;
+
+  Fixture() {
+    auto Row = [](const char *Id, const FakeInstance &I) {
+      return absl::StrFormat(
+          R"({"id":"%s","link":"%s","data_centre":"dc1","region":"otago","state":"live"})", Id,
+          I.Endpoint);
+    };
+    this->admin("instances", absl::StrFormat(R"({"instances":[%s,%s]})", Row("i1", this->First),
+                                             Row("i2", this->Second)));
+    this->writeFile("once database=a table=b # fleet\n");
+  }
+  ~Fixture() { std::remove(this->File.c_str()); }
+  void admin(const std::string &Path, const std::string &Body) {
+    httplib::Client(this->Url).Put("/admin/" + Path, Body, "application/json");
+  }
+  void writeFile(const std::string &Text) { std::ofstream(this->File) << Text; }
+  int call(std::vector<std::string> Args) {
+    Args.push_back("--platform=" + this->Url);
+    Args.push_back("--timeout-ms=300");
+    Args.push_back("--confirm-ms=700");
+    this->Out.str("");
+    this->Err.str("");
+    return run(Args, this->Out, this->Err);
+  }
+  int apply(int Base) {
+    return this->call({"rules", "apply", this->File, absl::StrFormat("--base=%d", Base)});
+  }
+  bool said(std::string_view Text) const { return this->Out.str().find(Text) != std::string::npos; }
+};
+
+} // namespace
+
+// Guards against a second write of a change that took effect, and against a false "written".
+TEST_CASE("a read back after a write without an answer") {
+  CHECK(judgeReadBack(6, "new", {.Version = 7, .Value = "new"}) == ReadBack::Ours);
+  CHECK(judgeReadBack(6, "new", {.Version = 8, .Value = "new"}) == ReadBack::Ours);
+  CHECK(judgeReadBack(6, "new", {.Version = 6, .Value = "old"}) == ReadBack::NotYet);
+  CHECK(judgeReadBack(0, "", {.Version = 0, .Value = ""}) == ReadBack::NotYet);
+  CHECK(judgeReadBack(6, "new", {.Version = 7, .Value = "other"}) == ReadBack::Conflict);
+  CHECK(judgeReadBack(6, "new", {.Version = 8, .Value = "other"}) == ReadBack::Unclear);
+}
+
+// Guards against "in force" while an instance still works with older rules.
+TEST_CASE("rules are in force only when all live instances have confirmed") {
+  Confirmation C(7);
+  CHECK_FALSE(C.complete());
+  C.beginRound();
+  C.expect({peer("a"), peer("b")});
+  C.record(statusAnswer("a", 8));
+  C.record({.Id = InstanceId("b"), .Message = {}, .Problem = "no answer within 300 ms"});
+  C.endRound();
+  CHECK_FALSE(C.complete());
+  REQUIRE(C.missing().size() == 1);
+  CHECK(C.missing()[0].Cause == "no answer within 300 ms");
+  CHECK(C.toAsk().size() == 1);
+  C.record(statusAnswer("b", 6));
+  CHECK(C.missing()[0].Cause == "has version 6");
+  C.expect({peer("a"), peer("b"), peer("c")});
+  C.record(statusAnswer("b", 7));
+  CHECK(C.missing()[0].Id == InstanceId("c"));
+  C.expect({peer("a"), peer("b")});
+  CHECK(C.complete());
+}
+
+// Guards against a new instance that the lagging list does not have yet.
+TEST_CASE("members that other instances report as alive must confirm") {
+  Confirmation C(7);
+  C.beginRound();
+  C.expect({peer("a")});
+  C.record(statusAnswer(
+      "a", 7,
+      {{"a", member::State::Alive}, {"new", member::State::Alive}, {"old", member::State::Dead}}));
+  C.endRound();
+  REQUIRE(C.missing().size() == 1);
+  CHECK(C.missing()[0].Id == InstanceId("new"));
+  CHECK(C.toAsk().size() == 2);
+  C.beginRound();
+  C.expect({peer("a")});
+  C.record({.Id = InstanceId("a"), .Message = {}, .Problem = "no answer"});
+  C.endRound();
+  CHECK_FALSE(C.complete());
+  C.beginRound();
+  C.record(statusAnswer("a", 7, {{"new", member::State::Suspect}}));
+  C.endRound();
+  CHECK(C.complete());
+}
+
+TEST_CASE("columns are aligned and control characters are not printed") {
+  CHECK(alignedText({{"A", "a"}, {"LONG", "l"}}, {{"xyz", uint64_t{1}}, {Cell(), "e\x1b["}}) ==
+        "A    LONG\nxyz  1\n-    e?[\n");
+  CHECK(Cell::duration(192'500'000).Text == "3m12s");
+}
+
+TEST_CASE_FIXTURE(Fixture, "apply waits for the slower instance") {
+  std::thread Later([this] {
+    std::this_thread::sleep_for(std::chrono::milliseconds(300));
+    this->Version = 1;
+  });
+  CHECK(apply(0) == ExitDone);
+  Later.join();
+  CHECK(said("+1: once database=a table=b # fleet"));
+  CHECK(said("version 1 is in force: confirmed by all 2 live instances"));
+  CHECK(apply(0) == ExitDone);
+  CHECK(said("version 1 has this text already"));
+}
+
+TEST_CASE_FIXTURE(Fixture, "apply names an instance that has not confirmed") {
+  CHECK(apply(0) == ExitRefused);
+  CHECK(said("version 1 is written, but not confirmed by 1 of 2 live instances"));
+  CHECK(said("i2        has version 0"));
+  CHECK_FALSE(said("in force"));
+}
+
+TEST_CASE_FIXTURE(Fixture, "a conflict shows what changed since the base") {
+  Version = 9;
+  CHECK(apply(0) == ExitDone);
+  writeFile("once database=a table=c # depot\n");
+  CHECK(apply(1) == ExitDone);
+  writeFile("once database=a table=d # late\n");
+  CHECK(apply(1) == ExitRefused);
+  CHECK(said("refused: version 2 is in force, not the base version 1"));
+  CHECK(said("changes from version 1 to version 2:\n-1: once database=a table=b # fleet\n"
+             "+1: once database=a table=c # depot\n"));
+  CHECK(call({"rules", "show"}) == ExitDone);
+  CHECK(Out.str() == "once database=a table=c # depot\n");
+}
+
+// Guards against a change that is applied twice, or reported as failed, after a lost answer.
+TEST_CASE_FIXTURE(Fixture, "apply reads back after a lost answer") {
+  Version = 9;
+  admin("faults", R"({"lose_answers":1})");
+  CHECK(apply(0) == ExitDone);
+  CHECK(said("version 1 is in force"));
+  admin("faults", R"({"down":true})");
+  CHECK(apply(1) == ExitUnreachable);
+}
+
+TEST_CASE_FIXTURE(Fixture, "wrong files and arguments have their exit codes") {
+  writeFile("onec database=a table=b # fleet\n");
+  CHECK(apply(0) == ExitRefused);
+  CHECK(Err.str().find(":1:1: unknown rule \"onec\"") != std::string::npos);
+  CHECK(call({"rules", "check", "/nonexistent"}) == ExitUsage);
+  CHECK(call({"rules", "check", "/tmp"}) == ExitUsage);
+  CHECK(call({"rules", "apply", File}) == ExitUsage);
+  CHECK(call({"drain", "i9"}) == ExitUsage);
+  CHECK(call({"status", "--output=xml"}) == ExitUsage);
+}
+
+// Guards against a silent instance that hides the others or the exit code.
+TEST_CASE_FIXTURE(Fixture, "status shows the instances that answer and names the silent one") {
+  CHECK(call({"status"}) == ExitDone);
+  CHECK(said("i1        dc1          otago   ready"));
+  admin("instances", absl::StrFormat(R"({"instances":[
+      {"id":"i1","link":"%s","data_centre":"dc1","region":"otago","state":"live"},
+      {"id":"i2","link":"%s","data_centre":"dc1","region":"otago","state":"live"},
+      {"id":"i3","link":"127.0.0.1:1","data_centre":"dc1","region":"otago","state":"live"}]})",
+                                     First.Endpoint, First.Endpoint));
+  CHECK(call({"status"}) == ExitUnreachable);
+  CHECK(said("i1        dc1          otago   ready"));
+  CHECK(Err.str().find("instance \"i1\" answers at this address") != std::string::npos);
+  CHECK(Err.str().find("instance i3: tcp://127.0.0.1:1: no answer") != std::string::npos);
+  CHECK(call({"status", "--output=json"}) == ExitUnreachable);
+  auto Json = nlohmann::json::parse(Out.str());
+  CHECK(Json.at("instances").at(0).at("rules_version") == 99);
+  CHECK(Json.at("instances").at(2).at("callers").is_null());
+  CHECK(call({"targets"}) == ExitUnreachable);
+  CHECK(Err.str().find("answer with body 41, expected 43") != std::string::npos);
+}
--- /dev/null
+++ b/src/ctl/rules.cpp
@@ -0,0 +1,270 @@
+// Commands on rules: check, diff, show, apply.
+#include "rules/rules.h"
+#include "ctl/apply.h"
+#include "ctl/commands.h"
+#include "ctl/ctl.h"
+
+#include "absl/strings/str_format.h"
+#include "absl/time/clock.h"
+
+#include <algorithm>
+#include <cerrno>
+#include <cstdio>
+#include <cstring>
+#include <optional>
+#include <utility>
+
+namespace toucan::ctl {
+
+namespace {
+
+constexpr std::string_view RulesKey = "config/rules";
+constexpr absl::Duration RetryInterval = absl::Milliseconds(200);
+// A silent instance must not delay the next question to the others.
+constexpr absl::Duration MaxRound = absl::Seconds(1);
+
+struct RulesFile {
+  std::string Text;
+  int Problem = 0; // exit code
+};
+
+// Reads a whole file; nullopt with errno set if that fails, as it does for a directory.
+std::optional<std::string> readFile(const std::string &Name) {
+  std::FILE *File = std::fopen(Name.c_str(), "rb");
+  if (!File)
+    return std::nullopt;
+  std::string Text;
+  char Buffer[4096];
+  while (size_t Size = std::fread(Buffer, 1, sizeof Buffer, File))
+    Text.append(Buffer, Size);
+  bool Ok = std::ferror(File) == 0;
+  int Cause = errno;
+  std::fclose(File);
+  errno = Cause;
+  return Ok ? std::optional(std::move(Text)) : std::nullopt;
+}
+
+// Reads and checks FILE; says on Err what is wrong.
+RulesFile loadFile(const Context &C) {
+  const std::string &Name = C.Line.Arguments.at("FILE");
+  std::optional<std::string> Text = readFile(Name);
+  if (!Text)
+    return {.Text = {},
+            .Problem = C.fail(ExitUsage, absl::StrFormat("file \"%s\" cannot be read: %s", Name,
+                                                         std::strerror(errno)))};
+  RulesFile Out{.Text = std::move(*Text)};
+  auto Rules = capture([&] { return rules::RuleSet::parse(Out.Text, Name); });
+  if (!Rules)
+    Out.Problem = C.fail(ExitRefused, Rules.Problem.Message);
+  return Out;
+}
+
+Captured<platform::Row> readRules(Context &C) {
+  return capture([&] { return C.Platform.read(std::string(RulesKey)); });
+}
+
+// The texts of the last versions are kept as objects, to show what changed since a base version.
+// The slots are reused, since the object store has no call to delete an object.
+constexpr uint64_t HistorySlots = 1000;
+
+std::string historyName(uint64_t Version) {
+  return absl::StrFormat("%s/%d", RulesKey, Version % HistorySlots);
+}
+
+// First line of the object, which tells the version in the slot.
+std::string historyHeader(uint64_t Version) { return absl::StrFormat("version %d\n", Version); }
+
+std::optional<std::string> historicText(Context &C, uint64_t Version) {
+  if (Version == 0)
+    return "";
+  auto Kept = capture([&] { return C.Platform.getObject(historyName(Version)); });
+  std::string Header = historyHeader(Version);
+  if (!Kept || !Kept->starts_with(Header))
+    return std::nullopt;
+  return Kept->substr(Header.size());
+}
+
+void keepHistory(Context &C, uint64_t Version, const std::string &Text) {
+  std::string Object = absl::StrFormat("%s%s", historyHeader(Version), Text);
+  auto Kept = capture([&] { return C.Platform.putObject(historyName(Version), Object); });
+  if (!Kept)
+    C.fail(0, absl::StrFormat("the text of version %d is not kept for later conflict messages: %s",
+                              Version, Kept.Problem.Message));
+}
+
+ApplyReport conflictReport(Context &C, ApplyReport R, const platform::Row &InForce,
+                           const std::string &Text) {
+  R.Result = ApplyResult::Conflict;
+  R.Version = InForce.Version;
+  R.ForceText = InForce.Value;
+  R.Difference = rules::diff(InForce.Value, Text);
+  R.BaseText = historicText(C, R.Base);
+  return R;
+}
+
+// Reads until the write without an answer is seen, or another change, or the timeout has passed.
+// Sets R to its final state, or to NotConfirmed when the write took effect.
+ApplyReport readBack(Context &C, ApplyReport R, const std::string &Text) {
+  Instant Deadline = monotonicNow() + C.Timeout;
+  R.Result = ApplyResult::WriteUnknown;
+  for (;;) {
+    auto Found = readRules(C);
+    R.Unreachable = !Found;
+    if (Found) {
+      switch (judgeReadBack(R.Base, Text, *Found)) {
+      case ReadBack::Ours:
+        R.Result = ApplyResult::NotConfirmed;
+        R.Version = Found->Version;
+        return R;
+      case ReadBack::Conflict:
+        return conflictReport(C, std::move(R), *Found, Text);
+      case ReadBack::Unclear:
+        R.Detail = absl::StrFormat("version %d with another text is in force", Found->Version);
+        return R;
+      case ReadBack::NotYet:
+        break;
+      }
+    }
+    if (monotonicNow() + RetryInterval >= Deadline) {
+      if (Found)
+        absl::StrAppendFormat(&R.Detail, "; version %d is still in force", Found->Version);
+      return R;
+    }
+    absl::SleepFor(RetryInterval);
+  }
+}
+
+// Writes the text by compare-and-set; NotConfirmed means that it was written.
+ApplyReport writeRules(Context &C, ApplyReport R, const std::string &Text) {
+  platform::WriteOutcome W = C.Platform.compareAndSet(std::string(RulesKey), R.Base, Text);
+  R.Detail = W.Detail;
+  switch (W.Result) {
+  case platform::Written::Done:
+    R.Result = ApplyResult::NotConfirmed;
+    R.Version = W.Version;
+    return R;
+  case platform::Written::NotDone:
+    R.Unreachable = true;
+    return R;
+  case platform::Written::Unknown:
+    return readBack(C, std::move(R), Text);
+  case platform::Written::Conflict:
+    break;
+  }
+  if (auto InForce = readRules(C))
+    return conflictReport(C, std::move(R), *InForce, Text);
+  R.Detail = absl::StrFormat("version %d is in force, not the base version %d", W.Version, R.Base);
+  return R;
+}
+
+std::vector<Peer> livePeers(const platform::Directory &Directory) {
+  std::vector<Peer> Out;
+  for (const platform::InstanceRow &Row : Directory.Instances)
+    if (!Row.Leaving)
+      Out.push_back(peerOf(Row));
+  return Out;
+}
+
+// Asks until all live instances have the version, or the time to confirm has passed.
+void confirm(Context &C, ApplyReport &R) {
+  Instant Deadline = monotonicNow() + C.ConfirmTimeout;
+  proto::Envelope Question;
+  Question.mutable_status_request();
+  Confirmation State(R.Version);
+  bool ListRead = false;
+  for (;;) {
+    State.beginRound();
+    auto Directory = capture([&] { return C.Platform.directory(); });
+    R.Detail = Directory ? "" : Directory.Problem.Message;
+    ListRead = ListRead || Directory;
+    if (Directory)
+      State.expect(livePeers(*Directory));
+    Instant RoundEnd = std::min(Deadline, monotonicNow() + std::min(C.Timeout, MaxRound));
+    for (const Answer &A : askAll(State.toAsk(), Question, proto::Envelope::kStatusReply, RoundEnd))
+      State.record(A);
+    State.endRound();
+    if (State.complete() || monotonicNow() + RetryInterval >= Deadline)
+      break;
+    absl::SleepFor(RetryInterval);
+  }
+  R.Result = State.complete() ? ApplyResult::InForce : ApplyResult::NotConfirmed;
+  R.Live = State.expected();
+  R.Missing = State.missing();
+  R.Unreachable = !ListRead;
+}
+
+void say(const Context &C, const std::string &Text) {
+  if (!C.AsJson)
+    C.Out << Text << std::flush;
+}
+
+int finish(const Context &C, const ApplyReport &R) {
+  C.print(applyText(R), applyJson(R));
+  return applyExit(R);
+}
+
+} // namespace
+
+int checkRules(Context &C) {
+  RulesFile File = loadFile(C);
+  if (File.Problem)
+    return File.Problem;
+  C.print(absl::StrFormat("%s: correct\n", C.Line.Arguments.at("FILE")),
+          {{"file", C.Line.Arguments.at("FILE")}, {"correct", true}});
+  return ExitDone;
+}
+
+int diffRules(Context &C) {
+  RulesFile File = loadFile(C);
+  if (File.Problem)
+    return File.Problem;
+  auto InForce = readRules(C);
+  if (!InForce)
+    return C.fail(ExitUnreachable, InForce.Problem.Message);
+  std::string Difference = rules::diff(InForce->Value, File.Text);
+  std::string Text =
+      absl::StrFormat("difference from version %d to %s:\n%s", InForce->Version,
+                      C.Line.Arguments.at("FILE"), Difference.empty() ? "none\n" : Difference);
+  C.print(Text, {{"version", InForce->Version}, {"difference", Difference}});
+  return ExitDone;
+}
+
+// The version goes to Err, so that standard output can be edited and applied.
+int showRules(Context &C) {
+  auto InForce = readRules(C);
+  if (!InForce)
+    return C.fail(ExitUnreachable, InForce.Problem.Message);
+  C.print(InForce->Value, {{"version", InForce->Version}, {"text", InForce->Value}});
+  if (!C.AsJson)
+    C.Err << absl::StrFormat("version %d\n", InForce->Version);
+  return ExitDone;
+}
+
+int applyRules(Context &C) {
+  RulesFile File = loadFile(C);
+  if (File.Problem)
+    return File.Problem;
+  ApplyReport R{.Base = static_cast<uint64_t>(C.Line.Settings.integer("base"))};
+  auto InForce = readRules(C);
+  if (!InForce)
+    return C.fail(ExitUnreachable, InForce.Problem.Message);
+  // Also the case of a repeated command after an unknown outcome.
+  if (InForce->Version > 0 && InForce->Value == File.Text) {
+    R.Version = InForce->Version;
+    say(C, absl::StrFormat("version %d has this text already; nothing is written\n", R.Version));
+  } else if (InForce->Version != R.Base) {
+    return finish(C, conflictReport(C, std::move(R), *InForce, File.Text));
+  } else {
+    R.Difference = rules::diff(InForce->Value, File.Text);
+    say(C, absl::StrFormat("difference from version %d:\n%s", R.Base, R.Difference));
+    R = writeRules(C, std::move(R), File.Text);
+    if (R.Result != ApplyResult::NotConfirmed)
+      return finish(C, R);
+    say(C, absl::StrFormat("written as version %d; waiting for instances\n", R.Version));
+    keepHistory(C, R.Version, File.Text);
+  }
+  confirm(C, R);
+  return finish(C, R);
+}
+
+} // namespace toucan::ctl
