Stand-in database: tests, warnings outside transactions, WAL mode set once

Cause: the first version had no tests; they showed that two connections that open a new database at the same time could fail, since both changed it to write-ahead mode and one got SQLITE_BUSY.

--- a/standin/db/database.cpp
+++ b/standin/db/database.cpp
@@ -105,21 +105,30 @@
 
 } // namespace
 
-Database::Database(std::string DataDir) : Dir(std::move(DataDir)) { this->rebuild(); }
+Database::Database(std::string DataDir) : Dir(std::move(DataDir)) {}
 
-Database::~Database() { this->removeFiles(); }
+Database::~Database() {
+  this->Anchor.reset();
+  this->removeFiles();
+}
 
 void Database::removeFiles() const {
   for (const char *Suffix : {"", "-wal", "-journal"})
     std::remove((this->Path + Suffix).c_str());
 }
 
-void Database::rebuild() {
+Result<void> Database::rebuild() {
+  this->Anchor.reset();
   if (!this->Path.empty())
     this->removeFiles();
   ++this->Generation;
   this->Path = absl::StrFormat("%s/data-%d.sqlite", this->Dir, this->Generation);
   this->removeFiles();
+  BOOST_LEAF_ASSIGN(this->Anchor, openSqlite(this->Path, nullptr));
+  // Two connections that change the mode at the same time would get SQLITE_BUSY.
+  if (std::optional<SqlError> E = runSql(this->Anchor.get(), "PRAGMA journal_mode=WAL"))
+    return failure(absl::StrFormat("cannot create \"%s\": %s", this->Path, E->Message));
+  return {};
 }
 
 Result<SqliteHandle> openSqlite(const std::string &Path, SqlHooks *Hooks) {
@@ -133,8 +142,7 @@
   sqlite3_extended_result_codes(Raw, 1);
   sqlite3_busy_timeout(Raw, BusyTimeoutMs);
   // The log is the durable copy, so the database itself needs no sync.
-  std::optional<SqlError> E =
-      runSql(Raw, "PRAGMA journal_mode=WAL; PRAGMA synchronous=OFF; PRAGMA foreign_keys=ON;");
+  std::optional<SqlError> E = runSql(Raw, "PRAGMA synchronous=OFF; PRAGMA foreign_keys=ON;");
   if (E)
     return failure(absl::StrFormat("cannot set up database \"%s\": %s", Path, E->Message));
   addFunctions(Raw, Hooks);
--- a/standin/db/database.h
+++ b/standin/db/database.h
@@ -50,6 +50,7 @@
 // for the writer. A shared in-memory database of SQLite would let a long read block every commit.
 class Database {
 public:
+  // Without files until rebuild().
   explicit Database(std::string Dir);
   ~Database();
   Database(const Database &) = delete;
@@ -57,7 +58,7 @@
 
   const std::string &path() const { return this->Path; }
   uint64_t generation() const { return this->Generation; }
-  void rebuild();
+  Result<void> rebuild();
 
 private:
   void removeFiles() const;
@@ -65,6 +66,7 @@
   std::string Dir;
   std::string Path;
   uint64_t Generation = 0;
+  SqliteHandle Anchor; // keeps the write-ahead file when no other connection is open
 };
 
 // Opens a connection. Without hooks, sleep_ms and raise_notice do nothing (replay of the log).
--- a/standin/db/group.cpp
+++ b/standin/db/group.cpp
@@ -27,6 +27,14 @@
           .Fatal = true};
 }
 
+// A server whose database does not match its log must not go on.
+void stopOnFailure(const Captured<Unit> &Done) {
+  if (Done)
+    return;
+  LogEvent(LogLevel::Error, "rebuild_failed").kv("cause", Done.Problem.Message);
+  std::abort();
+}
+
 } // namespace
 
 const char *roleName(Role R) {
@@ -48,6 +56,7 @@
 Result<void> Group::open() {
   BOOST_LEAF_CHECK(this->Log.open(this->Options.DataDir));
   this->Data = std::make_unique<Database>(this->Options.DataDir);
+  BOOST_LEAF_CHECK(this->Data->rebuild());
   return this->applyAll();
 }
 
@@ -123,10 +132,7 @@
       return this->answerLocked(Allowed);
   }
   // Log and role cannot change here: the server is fenced and ControlMutex is held.
-  if (auto Done = capture([&] { return this->applyAll(); }); !Done) {
-    LogEvent(LogLevel::Error, "apply_failed").kv("cause", Done.Problem.Message);
-    std::abort();
-  }
+  stopOnFailure(capture([this] { return this->applyAll(); }));
   std::lock_guard Lock(this->Mutex);
   this->Log.saveRecord({.Term = Term, .Proposer = Proposer, .In = Phase::Primary});
   this->Log.append({.Term = Term, .Position = this->Log.last() + 1, .Sql = ""});
@@ -286,7 +292,7 @@
   this->Log.truncateAfter(Position);
   if (this->Applied <= Position)
     return;
-  this->Data->rebuild();
+  stopOnFailure(capture([this] { return this->Data->rebuild(); }));
   this->Applied = 0;
 }
 
--- /dev/null
+++ b/standin/db/log_test.cpp
@@ -0,0 +1,98 @@
+#include "test_client.h"
+
+#include <doctest/doctest.h>
+
+#include <fstream>
+
+using namespace toucan;
+using namespace toucan::standin;
+
+namespace {
+
+void open(GroupLog &L, const std::string &Dir) {
+  auto Opened = capture([&] { return L.open(Dir); });
+  REQUIRE_MESSAGE(Opened, Opened.Problem.Message);
+}
+
+void add(GroupLog &L, uint64_t Term, const std::string &Sql) {
+  L.append({.Term = Term, .Position = L.last() + 1, .Sql = Sql});
+}
+
+} // namespace
+
+// Guards against an accepted term or an entry that is forgotten when the server restarts.
+TEST_CASE("log and term record survive a restart") {
+  TemporaryDir Dir;
+  {
+    GroupLog L;
+    open(L, Dir.path());
+    CHECK(L.record().Term == 0);
+    add(L, 1, "");
+    add(L, 2, std::string("a;\n\0b", 5));
+    L.saveRecord({.Term = 7, .Proposer = "proposer with blanks", .In = Phase::Primary});
+  }
+  GroupLog L;
+  open(L, Dir.path());
+  REQUIRE(L.last() == 2);
+  CHECK(L.at(2).Sql == std::string("a;\n\0b", 5));
+  CHECK(L.lastTerm() == 2);
+  CHECK(L.record().Term == 7);
+  CHECK(L.record().Proposer == "proposer with blanks");
+  CHECK(L.record().In == Phase::Primary);
+}
+
+// Guards against a start that fails, or reads garbage, after kill -9 in the middle of a write.
+TEST_CASE("a cut record at the end of the log is removed") {
+  TemporaryDir Dir;
+  {
+    GroupLog L;
+    open(L, Dir.path());
+    add(L, 1, "first");
+    add(L, 1, "second");
+  }
+  std::string Path = Dir.path() + "/log";
+  std::filesystem::resize_file(Path, std::filesystem::file_size(Path) - 3);
+  {
+    GroupLog L;
+    open(L, Dir.path());
+    CHECK(L.last() == 1);
+    add(L, 2, "third");
+  }
+  GroupLog L;
+  open(L, Dir.path());
+  REQUIRE(L.last() == 2);
+  CHECK(L.at(2).Sql == "third");
+}
+
+// Guards against removed entries that come back after a restart.
+TEST_CASE("truncation removes entries from the file") {
+  TemporaryDir Dir;
+  {
+    GroupLog L;
+    open(L, Dir.path());
+    for (int I = 0; I < 5; ++I)
+      add(L, 1, "old");
+    L.truncateAfter(2);
+    add(L, 3, "new");
+  }
+  GroupLog L;
+  open(L, Dir.path());
+  REQUIRE(L.last() == 3);
+  CHECK(L.at(3).Sql == "new");
+  CHECK(L.termAt(2) == 1);
+  CHECK(L.termAt(3) == 3);
+}
+
+// Guards against a search for the common prefix that makes no progress or skips it.
+TEST_CASE("the last entry not over a position and a term") {
+  TemporaryDir Dir;
+  GroupLog L;
+  open(L, Dir.path());
+  for (uint64_t Term : {1, 1, 3, 3, 5})
+    add(L, Term, "");
+  CHECK(L.lastNotOver(5, 5) == 5);
+  CHECK(L.lastNotOver(9, 4) == 4);
+  CHECK(L.lastNotOver(3, 3) == 3);
+  CHECK(L.lastNotOver(5, 2) == 2);
+  CHECK(L.lastNotOver(5, 0) == 0);
+}
--- a/standin/db/portal.cpp
+++ b/standin/db/portal.cpp
@@ -165,11 +165,9 @@
 }
 
 std::vector<int16_t> readFormats(wire::BodyReader &R) {
-  int16_t Count = R.int16();
-  std::vector<int16_t> Out;
-  Out.reserve(static_cast<size_t>(std::max<int16_t>(Count, 0)));
-  for (int16_t I = 0; I < Count && R.ok(); ++I)
-    Out.push_back(R.int16());
+  std::vector<int16_t> Out(static_cast<size_t>(std::max<int16_t>(R.int16(), 0)));
+  for (int16_t &Format : Out)
+    Format = R.int16();
   return Out;
 }
 
@@ -197,6 +195,7 @@
 
 std::vector<Column> columnsOf(sqlite3_stmt *Statement) {
   std::vector<Column> Out;
+  Out.reserve(static_cast<size_t>(sqlite3_column_count(Statement)));
   for (int I = 0; I < sqlite3_column_count(Statement); ++I)
     Out.push_back({.Name = sqlite3_column_name(Statement, I),
                    .Oid = oidOf(sqlite3_column_decltype(Statement, I))});
--- a/standin/db/primary_connection.cpp
+++ b/standin/db/primary_connection.cpp
@@ -57,6 +57,9 @@
           .c_str()));
   if (!this->Connection || PQstatus(this->Connection.get()) == CONNECTION_BAD)
     return false;
+  // A primary that stops is no event of this server.
+  PQsetNoticeProcessor(
+      this->Connection.get(), [](void *, const char *) {}, nullptr);
   short Events = POLLOUT;
   while (this->waitSocket(Events, Deadline)) {
     PostgresPollingStatusType Status = PQconnectPoll(this->Connection.get());
--- /dev/null
+++ b/standin/db/server_test.cpp
@@ -0,0 +1,352 @@
+#include "test_client.h"
+
+#include <doctest/doctest.h>
+
+#include <fstream>
+
+using namespace toucan;
+using namespace toucan::standin;
+
+namespace {
+
+using Rows = std::vector<std::vector<std::string>>;
+
+// Rows of the recursive query: big enough that collecting them would be seen.
+constexpr int ManyRows = 1'000'000;
+
+std::string numbersUpTo(int Count) {
+  return absl::StrFormat(
+      "with recursive n(i) as (select 1 union all select i + 1 from n where i < %d) ", Count);
+}
+
+uint64_t peakMemoryKb() {
+  std::ifstream In("/proc/self/status");
+  for (std::string Word; In >> Word;)
+    if (uint64_t Kb = 0; Word == "VmHWM:" && In >> Kb)
+      return Kb;
+  return 0;
+}
+
+struct Fixture {
+  TemporaryDir Dir;
+  std::unique_ptr<Server> S;
+  explicit Fixture(ServerOptions Options = {}) {
+    Options.DataDir = this->Dir.path();
+    this->S = startPrimary(Options);
+  }
+  Client client(const std::string &More = "") const { return Client(this->S->port(), 1, More); }
+};
+
+} // namespace
+
+// Guards against a start-up that drivers do not accept.
+TEST_CASE("start-up reports the parameters that drivers read") {
+  Fixture F;
+  Client C = F.client("sslmode=prefer application_name=test");
+  REQUIRE_MESSAGE(C.connected(), C.error());
+  CHECK(C.parameter("server_version") == "15.0 (standin)");
+  CHECK(PQserverVersion(C.get()) == 150000);
+  CHECK(C.parameter("client_encoding") == "UTF8");
+  CHECK(C.parameter("integer_datetimes") == "on");
+  CHECK(C.parameter("standard_conforming_strings") == "on");
+  CHECK(C.parameter("application_name") == "test");
+  CHECK(C.parameter("DateStyle") == "ISO, MDY");
+  CHECK(C.parameter("group_position") == "1/1");
+}
+
+// Guards against work in another term and over the connection limit.
+TEST_CASE("connections of another term and over the limit are refused") {
+  Fixture F({.Connections = 2});
+  CHECK(Client(F.S->port(), 2).error().find("not in term 2") != std::string::npos);
+  Client A = F.client();
+  {
+    Client B = F.client();
+    CHECK(B.connected());
+    CHECK(F.client().error().find("too many clients") != std::string::npos);
+    CHECK(Client(F.S->port(), 0).connected());
+  }
+  CHECK(eventually([&] { return F.client().connected(); }));
+}
+
+// Guards against tags, states and rows that differ from PostgreSQL in the simple protocol.
+TEST_CASE("simple queries") {
+  Fixture F;
+  Client C = F.client();
+  CHECK(C.run("create table t(a bigint primary key, b text, c double precision, d boolean)").Tag ==
+        "CREATE TABLE");
+  CHECK(C.run("insert into t values (1, 'x', 1.5, true), (2, null, 2, false)").Tag == "INSERT 0 2");
+  CHECK(C.run("update t set b = 'y' where a = 2").Tag == "UPDATE 1");
+  Answer All = C.run("select * from t order by a");
+  CHECK(All.Tag == "SELECT 2");
+  CHECK(All.Rows == Rows{{"1", "x", "1.5", "t"}, {"2", "y", "2.0", "f"}});
+  CHECK(All.Types == std::vector<uint32_t>{20, 25, 701, 16});
+  CHECK(C.run("insert into t(a) values (3) returning a").Rows == Rows{{"3"}});
+  CHECK(C.run("delete from t where a > 1").Tag == "DELETE 2");
+  CHECK(PQresultStatus(ResultPtr(PQexec(C.get(), " ; "), &PQclear).get()) == PGRES_EMPTY_QUERY);
+  CHECK(C.run("select raise_notice('take care')").Tag == "SELECT 1");
+  CHECK(C.notices() == "NOTICE:  take care\n");
+}
+
+// Guards against half of a request that stays after an error in the other half.
+TEST_CASE("the statements of one simple query are one transaction") {
+  Fixture F;
+  Client C = F.client();
+  C.run("create table t(a integer primary key)");
+  CHECK(C.run("insert into t values (1); insert into t values (1)").State == "23505");
+  CHECK(C.run("select count(*) from t").Rows == Rows{{"0"}});
+  CHECK(C.run("insert into t values (1); commit; insert into t values (1)").State == "23505");
+  CHECK(C.run("select count(*) from t").Rows == Rows{{"1"}});
+  std::string Before = C.parameter("group_position");
+  C.run("insert into t values (2); insert into t values (3)");
+  CHECK(Before == "1/3");
+  CHECK(C.parameter("group_position") == "1/4");
+}
+
+TEST_CASE("errors carry the state of PostgreSQL") {
+  Fixture F;
+  Client C = F.client();
+  C.run("create table t(a integer primary key, b text not null check (b <> 'no'), "
+        "c integer references t(a))");
+  CHECK(C.run("selec 1").State == "42601");
+  CHECK(C.run("select * from missing").State == "42P01");
+  CHECK(C.run("select missing from t").State == "42703");
+  CHECK(C.run("select missing(1)").State == "42883");
+  CHECK(C.run("create table t(a integer)").State == "42P07");
+  CHECK(C.run("insert into t(a) values (1)").State == "23502");
+  CHECK(C.run("insert into t(a, b) values (1, 'no')").State == "23514");
+  CHECK(C.run("insert into t values (1, 'x', 7)").State == "23503");
+  CHECK(C.run("select $1").State == "42P02");
+  CHECK(C.run("pragma journal_mode").State == "0A000");
+  CHECK(C.run("SELECT * FROM group_status()").State == "42501");
+  CHECK(Client(F.S->port(), 0).run("insert into t values (1, 'x', 1)").State == "25006");
+  CHECK(C.run("select 1").Tag == "SELECT 1");
+}
+
+// Guards against statements that run in a failed transaction.
+TEST_CASE("transaction states and savepoints") {
+  Fixture F;
+  Client C = F.client();
+  C.run("create table t(a integer)");
+  CHECK(C.run("begin").Tag == "BEGIN");
+  CHECK(C.state() == 'T');
+  C.run("savepoint s1");
+  C.run("insert into t values (1)");
+  C.run("savepoint s2");
+  C.run("insert into t values (2)");
+  CHECK(C.run("select * from missing").State == "42P01");
+  CHECK(C.state() == 'E');
+  CHECK(C.run("select 1").State == "25P02");
+  CHECK(C.runWith("select 1", {}).State == "25P02");
+  CHECK(C.run("rollback to s2").Tag == "ROLLBACK");
+  CHECK(C.state() == 'T');
+  CHECK(C.run("release s1").Tag == "RELEASE");
+  CHECK(C.run("rollback to s2").State == "3B001");
+  CHECK(C.run("commit").Tag == "ROLLBACK");
+  CHECK(C.state() == 'I');
+  CHECK(C.run("begin; savepoint s; insert into t values (3); rollback to s; "
+              "insert into t values (4); commit")
+            .Tag == "COMMIT");
+  CHECK(C.run("select a from t").Rows == Rows{{"4"}});
+  CHECK(C.run("begin read only; insert into t values (5)").State == "25006");
+  CHECK(C.run("rollback").Tag == "ROLLBACK");
+  CHECK(C.run("rollback").Tag == "ROLLBACK");
+  CHECK(C.notices().find("no transaction in progress") != std::string::npos);
+}
+
+// Guards against values that change between formats or lose their type.
+TEST_CASE("extended queries with text and binary values") {
+  Fixture F;
+  Client C = F.client();
+  C.run("create table t(a bigint, b double precision, c text, d boolean)");
+  std::string Number("\xff\xff\xff\xff\xff\xff\xff\xfe", 8); // -2
+  std::string Float("\x3f\xf8\0\0\0\0\0\0", 8);              // 1.5
+  std::string True("\1", 1);
+  const Oid Types[] = {20, 701, 25, 16};
+  const char *Values[] = {Number.data(), Float.data(), "te'xt", True.data()};
+  const int Sizes[] = {8, 8, 5, 1};
+  const int Formats[] = {1, 1, 0, 1};
+  ResultPtr Insert(PQexecParams(C.get(), "insert into t values ($1, $2, $3, $4)", 4, Types, Values,
+                                Sizes, Formats, 0),
+                   &PQclear);
+  CHECK(answerOf(Insert.get()).Tag == "INSERT 0 1");
+  CHECK(C.runWith("select * from t where a = $1", {"-2"}).Rows ==
+        Rows{{"-2", "1.5", "te'xt", "t"}});
+  ResultPtr Binary(
+      PQexecParams(C.get(), "select * from t", 0, nullptr, nullptr, nullptr, nullptr, 1), &PQclear);
+  CHECK(answerOf(Binary.get()).Rows == Rows{{Number, Float, "te'xt", True}});
+  CHECK(C.runWith("select $1", {nullptr}).Rows == Rows{{"NULL"}});
+}
+
+TEST_CASE("named statements, describe and their errors") {
+  Fixture F;
+  Client C = F.client();
+  C.run("create table t(a bigint, b text)");
+  auto Prepare = [&](const char *Name, const char *Sql) {
+    return answerOf(ResultPtr(PQprepare(C.get(), Name, Sql, 0, nullptr), &PQclear).get()).State;
+  };
+  CHECK(Prepare("s", "select b, a from t where a > $1").empty());
+  CHECK(Prepare("s", "select 1") == "42P05");
+  CHECK(Prepare("bad", "select * from missing") == "42P01");
+  CHECK(Prepare("two", "select 1; select 2") == "42601");
+  ResultPtr D(PQdescribePrepared(C.get(), "s"), &PQclear);
+  CHECK(PQnparams(D.get()) == 1);
+  REQUIRE(PQnfields(D.get()) == 2);
+  CHECK(PQftype(D.get(), 1) == 20);
+  C.run("insert into t values (1, 'x'), (2, 'y')");
+  const char *Values[] = {"1"};
+  ResultPtr R(PQexecPrepared(C.get(), "s", 1, Values, nullptr, nullptr, 0), &PQclear);
+  CHECK(answerOf(R.get()).Rows == Rows{{"y", "2"}});
+  ResultPtr Missing(PQexecPrepared(C.get(), "none", 0, nullptr, nullptr, nullptr, 0), &PQclear);
+  CHECK(answerOf(Missing.get()).State == "26000");
+  CHECK(C.state() == 'I');
+}
+
+// Guards against a pipeline whose first half stays when the second half fails.
+TEST_CASE("the statements up to Sync are one transaction") {
+  Fixture F;
+  Client C = F.client();
+  C.run("create table t(a integer primary key)");
+  REQUIRE(PQenterPipelineMode(C.get()) == 1);
+  for (int I = 0; I < 2; ++I)
+    REQUIRE(PQsendQueryParams(C.get(), "insert into t values (1)", 0, nullptr, nullptr, nullptr,
+                              nullptr, 0) == 1);
+  REQUIRE(PQpipelineSync(C.get()) == 1);
+  std::vector<ExecStatusType> Seen;
+  for (int Nulls = 0; Nulls < 2 || Seen.back() != PGRES_PIPELINE_SYNC;) {
+    ResultPtr R(PQgetResult(C.get()), &PQclear);
+    if (R)
+      Seen.push_back(PQresultStatus(R.get()));
+    else
+      ++Nulls;
+  }
+  CHECK(Seen ==
+        std::vector<ExecStatusType>{PGRES_COMMAND_OK, PGRES_FATAL_ERROR, PGRES_PIPELINE_SYNC});
+  REQUIRE(PQexitPipelineMode(C.get()) == 1);
+  CHECK(C.run("select count(*) from t").Rows == Rows{{"0"}});
+}
+
+TEST_CASE("settings are kept per connection") {
+  Fixture F;
+  Client C = F.client();
+  CHECK(C.run("set timezone to 'Pacific/Auckland'").Tag == "SET");
+  CHECK(C.parameter("TimeZone") == "Pacific/Auckland");
+  CHECK(C.run("show timezone").Rows == Rows{{"Pacific/Auckland"}});
+  CHECK(F.client().run("show timezone").Rows == Rows{{"UTC"}});
+  C.run("begin; set my.name = 'a'; set local search_path = x; commit");
+  CHECK(C.run("show my.name").Rows == Rows{{"a"}});
+  CHECK(C.run("show search_path").Rows != Rows{{"x"}});
+  C.run("begin; set timezone = 'Asia/Kolkata'; rollback");
+  CHECK(C.parameter("TimeZone") == "Pacific/Auckland");
+  CHECK(C.run("reset all").Tag == "RESET");
+  CHECK(C.run("show timezone").Rows == Rows{{"UTC"}});
+  CHECK(C.run("show nothing").State == "42704");
+  CHECK(C.run("set nothing = 1").State == "42704");
+}
+
+// Guards against a result that is collected before it is sent.
+TEST_CASE("a large result is streamed") {
+  Fixture F;
+  Client C = F.client();
+  uint64_t Before = peakMemoryKb();
+  REQUIRE(PQsendQuery(C.get(),
+                      (numbersUpTo(ManyRows) + "select i, 'some text of a row' from n").c_str()));
+  REQUIRE(PQsetSingleRowMode(C.get()) == 1);
+  int Count = 0;
+  while (ResultPtr R{PQgetResult(C.get()), &PQclear})
+    Count += PQntuples(R.get());
+  CHECK(Count == ManyRows);
+  // The rows take about 30 MB on the wire. Sanitizers keep freed memory and are not measured.
+#if !defined(__SANITIZE_ADDRESS__) && !defined(__SANITIZE_THREAD__)
+  CHECK(peakMemoryKb() - Before < 16 * 1024);
+#else
+  (void)Before;
+#endif
+}
+
+// Guards against a reader that blocks the writer or other readers while it sends or sleeps.
+TEST_CASE("a long read holds up neither writes nor other reads") {
+  Fixture F;
+  Client Writer = F.client();
+  Writer.run("create table t(a integer); insert into t values (1)");
+  Client Sending = F.client();
+  // The answer does not fit into the socket buffers and is not read.
+  REQUIRE(
+      PQsendQuery(Sending.get(),
+                  (numbersUpTo(ManyRows) + "select i, a, 'padding of a row' from n, t").c_str()));
+  Client Sleeping = F.client();
+  REQUIRE(PQsendQuery(Sleeping.get(), "select sleep_ms(3600000) from t"));
+  CHECK(eventually([&] { return PQconsumeInput(Sending.get()) == 1; }));
+  CHECK(Writer.run("insert into t values (2)").Tag == "INSERT 0 1");
+  CHECK(F.client().run("select count(*) from t").Rows == Rows{{"2"}});
+  CHECK(Sleeping.cancel());
+}
+
+// Guards against more work at once than the slots allow, and against unused slots.
+TEST_CASE("as many requests execute as there are slots") {
+  Fixture F({.Slots = 2});
+  Client A = F.client();
+  Client B = F.client();
+  Client Third = F.client();
+  auto Busy = [](const Client &C) { return PQconsumeInput(C.get()) == 1 && PQisBusy(C.get()); };
+  REQUIRE(PQsendQuery(A.get(), "select raise_notice('a'), sleep_ms(3600000)"));
+  REQUIRE(PQsendQuery(B.get(), "select raise_notice('b'), sleep_ms(3600000)"));
+  // A notice comes while the slot is held: both run at once.
+  CHECK(eventually([&] { return Busy(A) && !A.notices().empty(); }));
+  CHECK(eventually([&] { return Busy(B) && !B.notices().empty(); }));
+  REQUIRE(PQsendQuery(Third.get(), "select 1"));
+  std::this_thread::sleep_for(std::chrono::milliseconds(100));
+  CHECK(Busy(Third));
+  CHECK(Client(F.S->port(), 0).run("SELECT * FROM group_status()").Tag == "SELECT 1");
+  CHECK(B.cancel());
+  CHECK(eventually([&] { return !Busy(Third); }));
+  CHECK(answerOf(ResultPtr(PQgetResult(Third.get()), &PQclear).get()).Tag == "SELECT 1");
+  CHECK(Busy(A));
+  CHECK(A.cancel());
+}
+
+// Guards against a wait for the writer that holds the slot the writer needs.
+TEST_CASE("an open transaction that writes goes on while others wait for it") {
+  Fixture F({.Slots = 1});
+  Client Holder = F.client();
+  Holder.run("create table t(a integer primary key)");
+  Holder.run("begin; insert into t values (1)");
+  Client Waiting = F.client();
+  REQUIRE(PQsendQuery(Waiting.get(), "insert into t values (1)"));
+  std::this_thread::sleep_for(std::chrono::milliseconds(50));
+  CHECK(Holder.run("insert into t values (2)").Tag == "INSERT 0 1");
+  CHECK(Holder.run("commit").Tag == "COMMIT");
+  CHECK(answerOf(ResultPtr(PQgetResult(Waiting.get()), &PQclear).get()).State == "23505");
+}
+
+// Guards against a cancel that is lost, hits the next request, or leaves the connection unusable.
+TEST_CASE("cancel requests") {
+  Fixture F;
+  Client C = F.client();
+  C.run("create table t(a integer)");
+  for (const std::string &Sql : {std::string("select sleep_ms(3600000)"),
+                                 numbersUpTo(2'000'000'000) + "select count(*) from n",
+                                 numbersUpTo(2'000'000'000) + "insert into t select i from n"}) {
+    REQUIRE(PQsendQuery(C.get(), Sql.c_str()));
+    std::this_thread::sleep_for(std::chrono::milliseconds(50));
+    CHECK(C.cancel());
+    CHECK(answerOf(ResultPtr(PQgetResult(C.get()), &PQclear).get()).State == "57014");
+    while (ResultPtr R{PQgetResult(C.get()), &PQclear}) {
+    }
+    CHECK(C.state() == 'I');
+  }
+  CHECK(C.cancel());
+  CHECK(C.run("select count(*) from t").Rows == Rows{{"0"}});
+}
+
+// Guards against a stop that waits for clients, or that leaves them without a reason.
+TEST_CASE("stop ends all connections with 57P01") {
+  Fixture F;
+  Client Idle = F.client();
+  Client Sleeping = F.client();
+  REQUIRE(PQsendQuery(Sleeping.get(), "select sleep_ms(3600000)"));
+  F.S->stop();
+  CHECK(answerOf(ResultPtr(PQgetResult(Sleeping.get()), &PQclear).get()).State == "57P01");
+  CHECK(Idle.run("select 1").Tag.empty());
+  // The next request fails with the reason; libpq gives it no SQLSTATE.
+  CHECK(Idle.error().find("administrator command") != std::string::npos);
+}
--- a/standin/db/session.cpp
+++ b/standin/db/session.cpp
@@ -40,6 +40,12 @@
   if (F.Type == 'X')
     return false;
   this->I.beginRequest();
+  if (F.Type == 'S') {
+    this->sync();
+    return true;
+  }
+  if (this->SkipToSync)
+    return true;
   if (F.Type == 'Q') {
     std::optional<std::string> Sql = wire::parseQuery(F.Body);
     if (Sql)
@@ -48,12 +54,6 @@
       this->sendError({.State = "08P01", .Message = "malformed Query message", .Fatal = true});
     return true;
   }
-  if (F.Type == 'S') {
-    this->sync();
-    return true;
-  }
-  if (this->SkipToSync)
-    return true;
   if (std::optional<SqlError> E = this->extended(F)) {
     this->sendError(*E);
     this->Portals.clear();
@@ -145,9 +145,14 @@
   return std::nullopt;
 }
 
-void Session::notice(std::string_view Text) {
-  this->Io.write(wire::noticeResponse(
-      {{'S', "NOTICE"}, {'V', "NOTICE"}, {'C', "00000"}, {'M', std::string(Text)}}));
+void Session::notice(std::string_view Text) { this->sendNotice("NOTICE", "00000", Text); }
+
+void Session::sendNotice(std::string_view Severity, std::string_view State, std::string_view Text) {
+  this->Io.write(wire::noticeResponse({{'S', std::string(Severity)},
+                                       {'V', std::string(Severity)},
+                                       {'C', std::string(State)},
+                                       {'M', std::string(Text)}}));
+  this->Io.flush(); // notices are not held back until the end of the statement
 }
 
 } // namespace toucan::standin
--- a/standin/db/session.h
+++ b/standin/db/session.h
@@ -77,6 +77,7 @@
   std::optional<SqlError> runSimple(const std::string &Text, bool Last);
   void ready();
   void sendError(const SqlError &E);
+  void sendNotice(std::string_view Severity, std::string_view State, std::string_view Text);
   void reportPosition();
   std::optional<SqlError> openHandle();
   bool sleep(std::chrono::milliseconds Time) override { return this->I.sleep(Time); }
@@ -90,6 +91,7 @@
   std::optional<SqlError> step(Portal &P, int32_t MaxRows, bool &Suspended);
   std::optional<SqlError> complete(const std::string &Tag, bool Last);
   std::optional<SqlError> runTransaction(const Command &C, std::string &Tag);
+  void warnOutsideBlock();
   std::optional<SqlError> runSetting(const Command &C);
   std::optional<SqlError> runGroupCall(const Command &C);
   std::optional<SqlError> runLogCall(const Command &C);
--- a/standin/db/session_execute.cpp
+++ b/standin/db/session_execute.cpp
@@ -190,19 +190,29 @@
   return E;
 }
 
+void Session::warnOutsideBlock() {
+  if (!this->Txn.inBlock())
+    this->sendNotice("WARNING", "25P01", "there is no transaction in progress");
+}
+
 std::optional<SqlError> Session::runTransaction(const Command &C, std::string &Tag) {
   sqlite3 *Sqlite = this->Handle.get();
   switch (C.Kind) {
   case CommandKind::Begin:
-    if (!this->Txn.inBlock())
-      this->Settings.beginBlock();
+    if (this->Txn.inBlock()) {
+      this->sendNotice("WARNING", "25001", "there is already a transaction in progress");
+      return std::nullopt;
+    }
+    this->Settings.beginBlock();
     this->Txn.begin(C.ReadOnly);
     return std::nullopt;
   case CommandKind::Commit:
+    this->warnOutsideBlock();
     if (this->Txn.failed())
       Tag = "ROLLBACK";
     return this->endTransaction(!this->Txn.failed());
   case CommandKind::Rollback:
+    this->warnOutsideBlock();
     return this->endTransaction(false);
   case CommandKind::Savepoint:
     return this->Txn.savepoint(Sqlite, C.Name);
--- a/standin/db/session_startup.cpp
+++ b/standin/db/session_startup.cpp
@@ -52,7 +52,12 @@
     this->Context.Cancel(Packet.ProcessId, Packet.SecretKey);
     return false;
   }
-  if (std::optional<SqlError> E = this->admit(Packet)) {
+  std::optional<SqlError> E;
+  if (Packet.Code >> 16 != wire::ProtocolVersion3 >> 16)
+    E = SqlError{.State = "0A000", .Message = "unsupported frontend protocol"};
+  else
+    E = this->admit(Packet);
+  if (E) {
     E->Fatal = true;
     this->sendError(*E);
     return false;
