Process tests: harness, callers through the proxy, failures while callers write

Cause: the guarantees were tested in the parts only, not with real processes. Change: tests/process, cluster, client and workload start the platform stand-in, database servers and proxies on ports chosen by the system; 14 tests compare answers with those of the stand-in itself, move a session between proxies, and kill, freeze or stop each kind of process while callers write.

--- /dev/null
+++ b/tests/cluster.cpp
@@ -0,0 +1,185 @@
+#include "cluster.h"
+
+#include "absl/strings/str_format.h"
+#include "absl/strings/str_join.h"
+
+#include <doctest/doctest.h>
+#include <httplib.h>
+
+#include <cstdlib>
+#include <utility>
+
+namespace toucan::test {
+
+namespace {
+
+constexpr auto PlatformName = "platform";
+
+uint64_t number(const std::string &Text) { return std::strtoull(Text.c_str(), nullptr, 10); }
+
+std::vector<std::string> joined(std::vector<std::string> First,
+                                const std::vector<std::string> &More) {
+  First.insert(First.end(), More.begin(), More.end());
+  return First;
+}
+
+} // namespace
+
+Cluster::Cluster(ClusterOptions O) : Options(std::move(O)) {
+  this->Platform = std::make_unique<Process>(
+      "standin-platform", std::vector<std::string>{"--port=0"}, this->Dir.file(PlatformName));
+  this->PlatformPort = this->Platform->port("port");
+  REQUIRE(this->PlatformPort != 0);
+  for (int I = 1; I <= this->Options.Servers; ++I) {
+    Member &M = this->Servers.emplace_back();
+    M.Name = absl::StrFormat("%s-%d", this->Options.Database, I);
+    this->startServer(M);
+  }
+  for (int I = 1; I <= this->Options.Proxies; ++I) {
+    Member &M = this->Proxies.emplace_back();
+    M.Name = absl::StrFormat("entry-%d", I);
+    this->startProxy(M);
+  }
+  this->publish();
+}
+
+void Cluster::startServer(Member &M) {
+  std::vector<std::string> Flags = {
+      "--id=" + M.Name,
+      "--database=" + this->Options.Database,
+      absl::StrFormat("--port=%d", M.Port),
+      "--data-dir=" + this->Dir.file(M.Name),
+      absl::StrFormat("--slots=%d", this->Options.Slots),
+      absl::StrFormat("--connections=%d", this->Options.Connections),
+      "--connect-delay-ms=1",
+  };
+  M.P = std::make_unique<Process>("standin-db", joined(Flags, this->Options.ServerFlags),
+                                  this->Dir.file(M.Name));
+  M.Port = M.P->port("port");
+  REQUIRE(M.Port != 0);
+}
+
+void Cluster::startProxy(Member &M) {
+  std::vector<std::string> Flags = {
+      "--instance-id=" + M.Name,
+      "--data-centre=dc1",
+      "--region=region1",
+      "--listen-port=0",
+      "--link-port=0",
+      "--http-port=0",
+      "--token-key=0123456789abcdef0123456789abcdef",
+      absl::StrFormat("--platform-url=http://127.0.0.1:%d", this->PlatformPort),
+  };
+  M.P = std::make_unique<Process>("toucanrund", joined(Flags, this->Options.ProxyFlags),
+                                  this->Dir.file(M.Name));
+  M.Port = M.P->port("port");
+  M.Link = M.P->port("link");
+  M.Http = M.P->port("http");
+  REQUIRE(M.Port != 0);
+}
+
+void Cluster::restartServer(size_t I) { this->startServer(this->Servers[I]); }
+
+void Cluster::put(const std::string &Path, const std::string &Body) const {
+  httplib::Client Http("127.0.0.1", this->PlatformPort);
+  auto Answer = Http.Put(Path, Body, "application/json");
+  REQUIRE(Answer);
+  REQUIRE(Answer->status == 200);
+}
+
+void Cluster::publish() const {
+  std::vector<std::string> Instances;
+  for (const Member &M : this->Proxies)
+    Instances.push_back(absl::StrFormat(R"({"id":"%s","link":"127.0.0.1:%d","data_centre":"dc1",)"
+                                        R"("region":"region1","state":"live"})",
+                                        M.Name, M.Link));
+  std::vector<std::string> Targets;
+  for (const Member &M : this->Servers)
+    Targets.push_back(absl::StrFormat(R"({"id":"%s","host":"127.0.0.1","port":%d,)"
+                                      R"("data_centre":"dc1","region":"region1","state":"live"})",
+                                      M.Name, M.Port));
+  this->put("/admin/instances",
+            absl::StrFormat(R"({"instances":[%s]})", absl::StrJoin(Instances, ",")));
+  this->put(
+      "/admin/groups",
+      absl::StrFormat(R"({"groups":[{"name":"%s","slots":%d,"connections":%d,"targets":[%s]}]})",
+                      this->Options.Database, this->Options.Slots, this->Options.Connections,
+                      absl::StrJoin(Targets, ",")));
+}
+
+bool Cluster::healthy(const Member &M) const {
+  httplib::Client Http("127.0.0.1", M.Http);
+  auto Answer = Http.Get("/health");
+  return Answer && Answer->status == 200;
+}
+
+void Cluster::waitReady() {
+  for (const Member &M : this->Proxies)
+    REQUIRE_MESSAGE(eventually([&] { return this->healthy(M); }), M.Name << " is not ready");
+  for (size_t I = 0; I < this->Proxies.size(); ++I) {
+    Answer Last;
+    auto Write = [&] {
+      Last = this->client(I).run("create table if not exists ready(a integer)");
+      return Last.ok();
+    };
+    REQUIRE_MESSAGE(eventually(Write), "no write through proxy " << I << ": " << Last.Message);
+  }
+}
+
+Client Cluster::client(size_t Proxy, const std::string &Settings) const {
+  return Client(
+      {.Port = this->proxyPort(Proxy), .Database = this->Options.Database, .Options = Settings});
+}
+
+Client Cluster::direct(size_t Server, uint64_t Term) const {
+  return Client({.Port = this->serverPort(Server),
+                 .Database = this->Options.Database,
+                 .Options = Term == 0 ? "" : absl::StrFormat("-c group_term=%d", Term)});
+}
+
+ServerStatus Cluster::status(size_t Server) const {
+  Answer A = this->direct(Server).run("SELECT * FROM group_status()");
+  if (!A.ok() || A.Rows.size() != 1 || A.Rows[0].size() != 9)
+    return {};
+  const std::vector<std::string> &Row = A.Rows[0];
+  return {.Known = true,
+          .Term = number(Row[1]),
+          .Role = Row[3],
+          .Received = number(Row[5]),
+          .Applied = number(Row[6])};
+}
+
+size_t Cluster::primary() const {
+  size_t Found = this->servers();
+  eventually([&] {
+    uint64_t Highest = 0;
+    Found = this->servers();
+    for (size_t I = 0; I < this->servers(); ++I) {
+      ServerStatus S = this->status(I);
+      if (S.Role == "primary" && S.Term > Highest) {
+        Highest = S.Term;
+        Found = I;
+      }
+    }
+    return Found < this->servers();
+  });
+  return Found;
+}
+
+SingleServer::SingleServer()
+    : P(std::make_unique<Process>("standin-db",
+                                  std::vector<std::string>{"--id=single", "--port=0",
+                                                           "--data-dir=" + this->Dir.file("data")},
+                                  this->Dir.file("single"))),
+      Port(this->P->port("port")) {
+  REQUIRE(this->Port != 0);
+  Client Control({.Port = this->Port});
+  REQUIRE(Control.run("SELECT * FROM group_accept_term(1, 'test')").ok());
+  REQUIRE(Control.run("SELECT * FROM group_promote(1, 'test')").ok());
+}
+
+Client SingleServer::client() const {
+  return Client({.Port = this->Port, .Options = "-c group_term=1"});
+}
+
+} // namespace toucan::test
--- /dev/null
+++ b/tests/cluster.h
@@ -0,0 +1,98 @@
+// A platform, a database group and proxies as processes on one machine.
+#ifndef TOUCAN_TESTS_CLUSTER_H
+#define TOUCAN_TESTS_CLUSTER_H
+
+#include "client.h"
+#include "process.h"
+
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace toucan::test {
+
+struct ClusterOptions {
+  std::string Database = "orders";
+  int Servers = 3;
+  int Proxies = 2;
+  int Slots = 3;
+  int Connections = 25;
+  std::vector<std::string> ServerFlags; // more flags of standin-db
+  std::vector<std::string> ProxyFlags;  // more flags of toucanrund
+};
+
+// Row of group_status() that the tests read.
+struct ServerStatus {
+  bool Known = false; // the server has answered
+  uint64_t Term = 0;
+  std::string Role;
+  uint64_t Received = 0;
+  uint64_t Applied = 0;
+};
+
+// Starts everything; all processes end with the object.
+class Cluster {
+public:
+  explicit Cluster(ClusterOptions O = {});
+
+  const ClusterOptions &options() const { return this->Options; }
+  Process &proxy(size_t I) { return *this->Proxies[I].P; }
+  Process &server(size_t I) { return *this->Servers[I].P; }
+  uint16_t proxyPort(size_t I) const { return this->Proxies[I].Port; }
+  uint16_t serverPort(size_t I) const { return this->Servers[I].Port; }
+  size_t proxies() const { return this->Proxies.size(); }
+  size_t servers() const { return this->Servers.size(); }
+
+  // Waits until /health of every proxy answers 200 and a first write is acknowledged.
+  void waitReady();
+  // Client through a proxy; Settings are start-up options.
+  Client client(size_t Proxy, const std::string &Settings = "") const;
+  // Client directly at a server: work in a term, or control when Term is 0.
+  Client direct(size_t Server, uint64_t Term = 0) const;
+  ServerStatus status(size_t Server) const;
+  // Index of the primary of the highest term, once there is one; servers() after the limit.
+  size_t primary() const;
+  // Starts an ended server again on its port and data.
+  void restartServer(size_t I);
+
+private:
+  struct Member {
+    std::string Name;
+    std::unique_ptr<Process> P;
+    uint16_t Port = 0;
+    uint16_t Link = 0;
+    uint16_t Http = 0;
+  };
+
+  void startServer(Member &M);
+  void startProxy(Member &M);
+  void publish() const;
+  void put(const std::string &Path, const std::string &Body) const;
+  bool healthy(const Member &M) const;
+
+  ClusterOptions Options;
+  TestDir Dir;
+  std::unique_ptr<Process> Platform;
+  uint16_t PlatformPort = 0;
+  std::vector<Member> Servers;
+  std::vector<Member> Proxies;
+};
+
+// One server outside of any proxy that is the primary of term 1.
+class SingleServer {
+public:
+  SingleServer();
+  Client client() const;
+  Process &process() { return *this->P; }
+  uint16_t port() const { return this->Port; }
+
+private:
+  TestDir Dir;
+  std::unique_ptr<Process> P;
+  uint16_t Port = 0;
+};
+
+} // namespace toucan::test
+
+#endif // TOUCAN_TESTS_CLUSTER_H
--- /dev/null
+++ b/tests/proxy_test.cpp
@@ -0,0 +1,195 @@
+// What callers see through the proxy, compared with the stand-in itself.
+#include "cluster.h"
+
+#include <doctest/doctest.h>
+
+#include <chrono>
+#include <functional>
+#include <sstream>
+#include <string>
+
+using namespace toucan::test;
+
+namespace {
+
+constexpr auto ManyRows = "with recursive n(i) as (select 1 union all select i + 1 from n "
+                          "where i < 1000000) select i, 'text of row ' || i from n";
+
+// One line for each answer: tag, SQLSTATE, rows, types and the state of the transaction.
+class Transcript {
+public:
+  explicit Transcript(Client &C) : C(C) {}
+  void add(const std::string &What, const Answer &A) {
+    this->Out << What << ": tag=" << A.Tag << " error=" << A.State << " state=" << this->C.state();
+    for (uint32_t Type : A.Types)
+      this->Out << " type=" << Type;
+    for (const auto &Row : A.Rows) {
+      this->Out << " row";
+      for (const std::string &Value : Row)
+        this->Out << "|" << Value;
+    }
+    this->Out << "\n";
+  }
+  void run(const std::string &Sql) { this->add(Sql, this->C.run(Sql)); }
+  std::string text() const { return this->Out.str(); }
+
+private:
+  Client &C;
+  std::ostringstream Out;
+};
+
+using Script = std::function<std::string(Client &)>;
+
+std::string simpleScript(Client &C) {
+  Transcript T(C);
+  T.run("create table s(a bigint primary key, b text, c boolean, d double precision)");
+  T.run("insert into s values (1, 'x', true, 1.5), (2, null, false, 2)");
+  T.run("select * from s order by a");
+  T.run("update s set b = 'y' where a > 0");
+  T.run("select count(*) from s; select b from s where a = 2");
+  T.run("insert into s values (1, 'again', true, 0)");
+  T.run("select * from missing");
+  T.run("selec 1");
+  T.run("");
+  T.run("delete from s where a = 1");
+  T.run("insert into s values (7, 'r', true, 0) returning a, b");
+  T.run("select a from s order by a");
+  return T.text();
+}
+
+std::string preparedScript(Client &C) {
+  Transcript T(C);
+  T.run("create table p(a bigint primary key, b text, c double precision, d boolean)");
+  T.add("prepare", C.prepare("ins", "insert into p values ($1, $2, $3, $4)"));
+  for (const char *Id : {"1", "2", "3", "3"})
+    T.add("insert", C.runPrepared("ins", {Id, "it's", "0.5", "t"}));
+  T.add("prepare", C.prepare("sel", "select a, b from p where a >= $1 order by a"));
+  T.add("select", C.runPrepared("sel", {"2"}));
+  T.add("select", C.runPrepared("sel", {"3"}));
+  T.add("twice", C.prepare("sel", "select 1"));
+  T.add("missing", C.runPrepared("none", {}));
+  T.add("unnamed", C.runWith("select * from p where a = $1", {"1"}));
+  T.add("binary", C.runWith("select * from p where a = $1", {"1"}, 1));
+  T.add("null", C.runWith("select $1", {nullptr}));
+  T.add("bad", C.runWith("select * from missing where a = $1", {"1"}));
+  T.run("begin");
+  T.add("in block", C.runPrepared("sel", {"1"}));
+  T.run("commit");
+  return T.text();
+}
+
+std::string transactionScript(Client &C) {
+  Transcript T(C);
+  T.run("create table x(a bigint primary key)");
+  T.run("begin");
+  T.run("insert into x values (1)");
+  T.run("select * from x");
+  T.run("savepoint s");
+  T.run("insert into x values (1)");
+  T.run("select 1");
+  T.add("extended", C.runWith("select $1", {"1"}));
+  T.run("rollback to s");
+  T.run("insert into x values (2)");
+  T.run("release s");
+  T.run("commit");
+  T.run("begin");
+  T.run("insert into x values (3)");
+  T.run("select * from missing");
+  T.run("commit");
+  T.run("begin; insert into x values (4); rollback");
+  T.run("insert into x values (5); insert into x values (5)");
+  T.run("select a from x order by a");
+  return T.text();
+}
+
+std::string largeScript(Client &C) {
+  Client::Sums S = C.stream(ManyRows);
+  return std::to_string(S.Rows) + " " + std::to_string(S.Sum) + " " + S.Tag + S.State;
+}
+
+// A cancel request that arrives before its request has no effect, so it is repeated.
+Answer cancelled(Client &C, const std::string &Sql) {
+  REQUIRE(C.send(Sql));
+  CHECK(eventually([&] {
+    CHECK(C.cancel());
+    return eventually([&] { return !C.busy(); }, std::chrono::milliseconds(300));
+  }));
+  return C.finish();
+}
+
+std::string cancelScript(Client &C) {
+  Transcript T(C);
+  T.add("cancelled", cancelled(C, "select sleep_ms(3600000)"));
+  T.add("again", cancelled(C, "select sleep_ms(3600000), 1"));
+  T.run("begin");
+  T.add("in block", cancelled(C, "select sleep_ms(3600000)"));
+  T.run("rollback");
+  T.run("select 1");
+  return T.text();
+}
+
+// The proxies are started once for each test, the single server too: both see the same script.
+void compare(const Script &Run) {
+  SingleServer Single;
+  Cluster Group;
+  Group.waitReady();
+  Client Direct = Single.client();
+  std::string Expected = Run(Direct);
+  // The first proxy may own the database and the second forwards to it, or the other way round.
+  for (size_t Proxy = 0; Proxy < Group.proxies(); ++Proxy) {
+    Client Through = Group.client(Proxy);
+    REQUIRE_MESSAGE(Through.connected(), Through.error());
+    CHECK(Run(Through) == Expected);
+    for (const char *Table : {"s", "p", "x"})
+      Through.run(std::string("drop table if exists ") + Table);
+  }
+}
+
+} // namespace
+
+// Guards against rows, tags, types or errors that change on the way through the proxy.
+TEST_CASE("simple queries answer as without a proxy") { compare(simpleScript); }
+TEST_CASE("prepared statements answer as without a proxy") { compare(preparedScript); }
+TEST_CASE("transactions and errors in them answer as without a proxy") {
+  compare(transactionScript);
+}
+
+// Guards against a large result that is cut, reordered or collected until memory runs out.
+TEST_CASE("a million rows arrive as without a proxy") { compare(largeScript); }
+
+// Guards against cancel requests that do not reach the target, or reach the wrong request.
+TEST_CASE("a cancelled request ends as without a proxy") { compare(cancelScript); }
+
+// Guards against a session that does not see its own writes at another proxy.
+TEST_CASE("a write through one proxy is read through another") {
+  Cluster C;
+  C.waitReady();
+  REQUIRE(C.client(0).run("create table t(a bigint)").ok());
+  Client Writer = C.client(0);
+  for (int I = 1; I <= 20; ++I) {
+    REQUIRE(Writer.run("insert into t values (" + std::to_string(I) + ")").Tag == "INSERT 0 1");
+    std::string Token = Writer.parameter("toucanrun.token");
+    CHECK_FALSE(Token.empty());
+    Client Moved = C.client(1, "-c toucanrun.token=" + Token);
+    CHECK(Moved.run("select count(*) from t").value() == std::to_string(I));
+    // Without the token the first read is checked with the primary.
+    CHECK(C.client(1).run("select count(*) from t").value() == std::to_string(I));
+  }
+}
+
+// Guards against transactions of two callers on one target connection.
+TEST_CASE("open transactions of two callers do not mix") {
+  Cluster C;
+  C.waitReady();
+  REQUIRE(C.client(0).run("create table t(a bigint)").ok());
+  Client A = C.client(0);
+  Client B = C.client(1);
+  CHECK(A.run("begin").ok());
+  CHECK(B.run("begin").ok());
+  CHECK(A.run("insert into t values (1)").ok());
+  CHECK(B.run("select count(*) from t").value() == "0");
+  CHECK(A.run("rollback").ok());
+  CHECK(B.run("insert into t values (2)").ok());
+  CHECK(B.run("commit").ok());
+  CHECK(A.run("select a from t").Rows == std::vector<std::vector<std::string>>{{"2"}});
+}
--- /dev/null
+++ b/tests/workload.h
@@ -0,0 +1,56 @@
+// Writers that note what was acknowledged, for tests with failures.
+#ifndef TOUCAN_TESTS_WORKLOAD_H
+#define TOUCAN_TESTS_WORKLOAD_H
+
+#include "client.h"
+
+#include <atomic>
+#include <cstdint>
+#include <map>
+#include <mutex>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace toucan::test {
+
+// Each writer inserts ids that it never sends twice, unless an answer says that the request has not
+// run. The table has no unique index, so a write that ran twice is seen.
+class Workload {
+public:
+  // Writers connect to the ports in turn and change to the next one when a connection is lost.
+  Workload(std::vector<ClientOptions> Places, int Writers);
+  ~Workload();
+  Workload(const Workload &) = delete;
+  Workload &operator=(const Workload &) = delete;
+
+  static constexpr auto CreateTable = "create table if not exists written(id bigint)";
+  static constexpr auto ReadAll = "select id from written";
+
+  uint64_t acknowledged() const { return this->AcknowledgedCount; }
+  // Waits until More writes have been acknowledged from now on.
+  bool waitAcknowledged(uint64_t More) const;
+  // Ends the writers.
+  void stop();
+  // What is wrong with the rows of ReadAll after stop(); empty when nothing is.
+  std::string faultsIn(const Answer &Rows) const;
+  // Number of writes by outcome, for the output of a failed test.
+  std::string summary() const;
+
+private:
+  enum class Outcome : uint8_t { Acknowledged, Unknown, NotRun };
+  void write(size_t Writer);
+  void note(uint64_t Id, const Answer &A);
+
+  const std::vector<ClientOptions> Places;
+  std::atomic<bool> Stopping = false;
+  std::atomic<uint64_t> AcknowledgedCount = 0;
+  mutable std::mutex Mutex;
+  std::map<uint64_t, Outcome> Outcomes;     // last outcome of each id
+  std::map<std::string, uint64_t> Problems; // messages of other outcomes
+  std::vector<std::thread> Threads;
+};
+
+} // namespace toucan::test
+
+#endif // TOUCAN_TESTS_WORKLOAD_H
