Demo of the whole path, with failover and graceful stop

Cause: the path existed only in trials; toucanctl named its platform setting differently from the daemon and the demo did not wait for membership. Ruled out: waiting in the daemon's readiness for the platform's list, which lags and may be down.

--- a/scripts/cluster.sh
+++ b/scripts/cluster.sh
@@ -18,7 +18,7 @@
   last_pid=$!
   all_pids+=("$last_pid")
   for _ in $(seq 200); do
-    last_line=$(grep -m1 '^listening ' "$work/$name.out" || true)
+    last_line=$(grep -sm1 "^listening " "$work/$name.out" || true)
     [ -n "$last_line" ] && return 0
     kill -0 "$last_pid" 2>/dev/null || break
     sleep 0.05
@@ -34,6 +34,7 @@
 start_platform() {
   start platform "$bin/standin-platform" --port=0
   platform_url=http://127.0.0.1:$(field port)
+  export TOUCANCTL_PLATFORM_URL=$platform_url
 }
 
 # Usage: start_server DATABASE NUMBER [PORT]
@@ -95,6 +96,13 @@
   for i in 0 1 2 3; do
     wait_for "proxy-$i ready" curl -sf -o /dev/null "http://127.0.0.1:${proxy_http[$i]}/health"
   done
+  wait_for "members" members_alive 4
+}
+
+# Succeeds when every instance sees this many live members.
+members_alive() {
+  "$bin/toucanctl" status |
+    awk -v want="$1" '$1 ~ /^proxy-/ {if ($NF == want) n++} END {exit n != want}'
 }
 
 # Runs a command until it succeeds. Usage: wait_for WHAT COMMAND...
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -42,22 +42,22 @@
 expect "read through proxy-1" "$(sql 1 rounds 'select street from callouts where id = 1')" "Percival Street, Rangiora"
 expect "read through proxy-3" "$(sql 3 rounds 'select count(*) from callouts')" "1"
 
-primary=$("$bin/toucanctl" --platform-url="$platform_url" targets | awk '$1 == "rounds" && /primary/ {print $2; exit}')
+primary=$("$bin/toucanctl" targets | awk '$1 == "rounds" && /primary/ {print $2; exit}')
 kill -9 "${server_pid[$primary]}"
 echo "killed the primary of rounds: $primary"
 wait_for "write after failover" sql 2 rounds "insert into callouts values (2, 'High Street, Oxford') on conflict do nothing"
 echo "wrote callout 2 through proxy-2 after the change of primary"
 expect "read of both through proxy-0" "$(sql 0 rounds 'select group_concat(id) from (select id from callouts order by id)')" "1,2"
-new=$("$bin/toucanctl" --platform-url="$platform_url" targets | awk '$1 == "rounds" && /primary/ {print $2; exit}')
+new=$("$bin/toucanctl" targets | awk '$1 == "rounds" && /primary/ {print $2; exit}')
 echo "new primary of rounds: $new"
 
 if [ "$keep" = 1 ]; then
   echo "connect with: psql 'host=127.0.0.1 port=${proxy_port[0]} user=demo dbname=rounds'"
-  echo "operators:    $bin/toucanctl --platform-url=$platform_url status"
+  echo "operators:    $bin/toucanctl status --platform-url=$platform_url"
   echo "press Enter to stop"
   read -r _
 fi
-"$bin/toucanctl" --platform-url="$platform_url" status
+"$bin/toucanctl" status
 kill "${proxy_pid[3]}"
 code=0
 wait "${proxy_pid[3]}" || code=$?
--- a/scripts/measure.sh
+++ b/scripts/measure.sh
@@ -32,7 +32,7 @@
   cat >"$work/rules.txt" <<'R'
 class database=orders table=ledger class=long   # reconciliation: accounts
 R
-  "$bin/toucanctl" --platform-url="$platform_url" rules apply "$work/rules.txt" --base=0 >/dev/null
+  "$bin/toucanctl" rules apply "$work/rules.txt" --base=0 >/dev/null
   wait_for "tables" sql 0 orders "create table if not exists ledger(id integer primary key, v text)"
   sql 0 orders "create table if not exists stock(id integer primary key, v text)"
   sql 0 orders "insert into stock values (1, 'kerb 915 mm') on conflict do nothing"
@@ -71,7 +71,7 @@
   sql 0 orders "create table if not exists bookings(id integer primary key)"
   for run in $(seq "$runs"); do
     for how in KILL STOP; do
-      primary=$("$bin/toucanctl" --platform-url="$platform_url" targets |
+      primary=$("$bin/toucanctl" targets |
         awk '$1 == "orders" && /primary/ {print $2; exit}')
       pid=${server_pid[$primary]}
       acked=()
@@ -98,7 +98,7 @@
       else
         kill -CONT "$pid"
       fi
-      wait_for "rejoin of $primary" sh -c "'$bin/toucanctl' --platform-url=$platform_url targets | awk '\$2 == \"$primary\" && /replica/ {found = 1} END {exit !found}'"
+      wait_for "rejoin of $primary" sh -c "'$bin/toucanctl' targets | awk '\$2 == \"$primary\" && /replica/ {found = 1} END {exit !found}'"
     done
   done
 }
--- a/src/ctl/run.cpp
+++ b/src/ctl/run.cpp
@@ -42,7 +42,7 @@
 )";
 
 constexpr Setting Settings[] = {
-    {.Name = "platform",
+    {.Name = "platform-url",
      .Default = "http://127.0.0.1:8500",
      .Min = 8,
      .Max = 200,
@@ -120,7 +120,7 @@
   Context C{.Out = Out,
             .Err = Err,
             .Platform =
-                platform::Client({.Url = Line->Settings.text("platform"), .Timeout = Timeout}),
+                platform::Client({.Url = Line->Settings.text("platform-url"), .Timeout = Timeout}),
             .Timeout = Timeout,
             .ConfirmTimeout = absl::Milliseconds(Line->Settings.integer("confirm-ms")),
             .AsJson = Line->Settings.text("output") == "json",
