Process tests: a FATAL error between requests is the answer to the next one

Cause: libpq hands an error that arrives between two requests to the notice processor, so the test of SIGTERM counted requests as unknown that the proxy had refused as not run. Change: the client keeps the last notice; the test of SIGTERM forbids unknown outcomes. Conclusion: no fault of the proxy here.

--- a/tests/client.cpp
+++ b/tests/client.cpp
@@ -18,7 +18,7 @@
 
 using ResultPtr = std::unique_ptr<PGresult, decltype(&PQclear)>;
 
-void ignoreNotice(void *, const char *) {}
+void keepNotice(void *To, const char *Text) { *static_cast<std::string *>(To) = Text; }
 
 Answer answerOf(const PGresult *R) {
   Answer Out;
@@ -56,7 +56,7 @@
                                     O.Port, O.Database, O.Options)
                         .c_str()),
         &PQfinish) {
-  PQsetNoticeProcessor(this->C.get(), ignoreNotice, nullptr);
+  PQsetNoticeProcessor(this->C.get(), keepNotice, this->LastNotice.get());
 }
 
 bool Client::waitResult() {
@@ -80,16 +80,23 @@
       return {.Tag = "", .State = "timeout", .Message = "no answer in time"};
     ResultPtr R(PQgetResult(this->C.get()), &PQclear);
     if (!R)
-      return Last;
+      return this->explained(std::move(Last));
     // After a FATAL error libpq adds a result for the lost connection.
     if (Answer Next = answerOf(R.get()); Next.State != "lost" || Last.ok() || Last.State == "lost")
       Last = std::move(Next);
   }
 }
 
+// A FATAL error between two requests is a notice to libpq. It is the answer to the next request.
+Answer Client::explained(Answer A) const {
+  if (A.State == "lost" && absl::StartsWith(*this->LastNotice, "FATAL"))
+    A = {.Tag = "", .State = "57P01", .Message = *this->LastNotice};
+  return A;
+}
+
 Answer Client::after(int Sent) {
   if (Sent != 1)
-    return {.Tag = "", .State = "lost", .Message = this->error()};
+    return this->explained({.Tag = "", .State = "lost", .Message = this->error()});
   return this->finish();
 }
 
--- a/tests/client.h
+++ b/tests/client.h
@@ -65,7 +65,9 @@
   // Waits for a result that can be taken without blocking.
   bool waitResult();
   Answer after(int Sent);
+  Answer explained(Answer A) const;
 
+  std::unique_ptr<std::string> LastNotice = std::make_unique<std::string>();
   std::unique_ptr<PGconn, decltype(&PQfinish)> C;
 };
 
--- a/tests/failure_test.cpp
+++ b/tests/failure_test.cpp
@@ -29,8 +29,13 @@
   return A;
 }
 
+// Whether a write may end without a verdict.
+enum class UnknownOutcomes : uint8_t { Allowed, Forbidden };
+
 // Runs writers, then Fail, and checks that service goes on and every write is there as answered.
-template <class Fn> void checkWrites(Cluster &C, Fn &&Fail, size_t ReadAt) {
+template <class Fn>
+void checkWrites(Cluster &C, Fn &&Fail, size_t ReadAt,
+                 UnknownOutcomes Unknown = UnknownOutcomes::Allowed) {
   REQUIRE(C.client(0).run(Workload::CreateTable).ok());
   Workload W(places(C), Writers);
   CHECK_MESSAGE(W.waitAcknowledged(Some), W.summary());
@@ -38,6 +43,7 @@
   CHECK_MESSAGE(W.waitAcknowledged(Some), W.summary());
   W.stop();
   INFO(W.summary());
+  CHECK((Unknown == UnknownOutcomes::Allowed || W.unknown() == 0));
   CHECK(W.faultsIn(readAll(C, ReadAt)) == "");
   CHECK(W.faultsIn(C.direct(C.primary()).run(Workload::ReadAll)) == "");
 }
@@ -119,5 +125,5 @@
         C.proxy(0).signal(SIGTERM);
         CHECK(C.proxy(0).wait() == 0);
       },
-      1);
+      1, UnknownOutcomes::Forbidden);
 }
--- a/tests/workload.cpp
+++ b/tests/workload.cpp
@@ -4,6 +4,7 @@
 
 #include "absl/strings/str_format.h"
 
+#include <algorithm>
 #include <chrono>
 #include <cstdlib>
 #include <utility>
@@ -41,6 +42,8 @@
       this->note(Next, A);
       if (!A.notRun())
         ++Next;
+      if (A.State == "57P01")
+        break;
       if (!A.ok())
         std::this_thread::sleep_for(RetryPause);
     }
@@ -86,6 +89,13 @@
   return Out;
 }
 
+uint64_t Workload::unknown() const {
+  std::lock_guard Lock(this->Mutex);
+  return static_cast<uint64_t>(
+      std::count_if(this->Outcomes.begin(), this->Outcomes.end(),
+                    [](const auto &One) { return One.second == Outcome::Unknown; }));
+}
+
 std::string Workload::summary() const {
   std::lock_guard Lock(this->Mutex);
   std::string Out = absl::StrFormat("%d acknowledged\n", this->AcknowledgedCount.load());
--- a/tests/workload.h
+++ b/tests/workload.h
@@ -34,6 +34,8 @@
   void stop();
   // What is wrong with the rows of ReadAll after stop(); empty when nothing is.
   std::string faultsIn(const Answer &Rows) const;
+  // Writes whose answer does not say whether they ran.
+  uint64_t unknown() const;
   // Number of writes by outcome, for the output of a failed test.
   std::string summary() const;
 
