Session: refuse text that is not UTF-8, bound request ids, free large buffers

Cause: a field of an envelope that is not valid UTF-8 makes the receiver drop the whole message, so a user name or request id in another encoding would end as an unknown outcome. The parser's tree of such a text cannot be read, so a BEGIN or SET in it went unseen. A large message kept its buffer while the caller was idle.

Ruled out: bytes fields in link.proto; a target with UTF-8 refuses such texts anyway, with the same SQLSTATE 22021.

Change: start-up parameters, query texts and request ids are checked; request ids are limited to 256 bytes; a read with a rule `once` is not sent again after an unknown outcome; verification counts for every kind of request that asked for it; a chunk in its turn is relayed without a copy into the reorder buffer.

--- a/src/session/carried.cpp
+++ b/src/session/carried.cpp
@@ -24,7 +24,7 @@
 constexpr std::array<Row, 19> Rows = {{
     {"application_name", "application_name", "", ""},
     {"bytea_output", "", "hex", "hex"},
-    {"client_encoding", "client_encoding", "UTF8", "utf8|utf-8|unicode"},
+    {"client_encoding", "client_encoding", "UTF8", "utf8|utf-8|unicode|'utf8'|'utf-8'"},
     {"client_min_messages", "", "notice", ""},
     {"datestyle", "DateStyle", "ISO, MDY", "iso|iso, mdy|iso,mdy"},
     {"default_transaction_isolation", "", "read committed", "read committed"},
--- a/src/session/collector.cpp
+++ b/src/session/collector.cpp
@@ -24,9 +24,24 @@
   return violation(absl::StrFormat("malformed message of type \"%c\"", Type));
 }
 
-std::string requestKeyOf(const std::string &Sql) {
+// The parser does not read such a text, so its statements would not be known.
+Collected invalidEncoding() {
+  return serverError("22021", "invalid byte sequence for encoding \"UTF8\"");
+}
+
+// The id is the key of a row at the target and is sent with each request.
+constexpr size_t MaxRequestKeyBytes = 256;
+
+// Reads the request id comment of a text into Out.
+Collected readRequestKey(const std::string &Sql, std::string &Out) {
   auto Comment = sql::findRequestId(Sql);
-  return Comment ? std::move(Comment->Id) : "";
+  if (!Comment)
+    return {};
+  if (Comment->Id.size() > MaxRequestKeyBytes)
+    return fail({.Of = Reason::TooLarge,
+                 .Text = absl::StrFormat("request id of more than %d bytes", MaxRequestKeyBytes)});
+  Out = std::move(Comment->Id);
+  return {};
 }
 
 } // namespace
@@ -90,6 +105,8 @@
   auto Sql = wire::parseQuery(F.Body);
   if (!Sql)
     return malformed(F.Type);
+  if (!isUtf8(*Sql))
+    return invalidEncoding();
   auto What = this->Classify(*Sql);
   if (What->Statements.empty() && !this->Current.Remote) {
     this->Current.LocalReply += wire::emptyQueryResponse();
@@ -101,7 +118,8 @@
   if (Where == Place::Local)
     return this->queryLocal(*What);
   if (this->Current.RequestKey.empty())
-    this->Current.RequestKey = requestKeyOf(*Sql);
+    if (Collected C = readRequestKey(*Sql, this->Current.RequestKey); C.Is != Next::More)
+      return C;
   this->noteRemote(*What);
   if (Collected C = this->sendRemote(F.Whole); C.Is != Next::More)
     return C;
@@ -143,6 +161,8 @@
   if (!M->Statement.empty() && this->State.Statements.contains(M->Statement))
     return serverError("42P05",
                        absl::StrFormat("prepared statement \"%s\" already exists", M->Statement));
+  if (!isUtf8(M->Sql))
+    return invalidEncoding();
   auto What = this->Classify(M->Sql);
   if (What->Statements.size() > 1)
     return serverError("42601", "cannot insert multiple commands into a prepared statement");
@@ -155,7 +175,8 @@
   auto Statement = std::make_shared<Prepared>();
   Statement->ParseFrame = std::string(F.Whole);
   Statement->What = std::move(What);
-  Statement->RequestKey = requestKeyOf(M->Sql);
+  if (Collected C = readRequestKey(M->Sql, Statement->RequestKey); C.Is != Next::More)
+    return C;
   return this->defineStatement(M->Statement, std::move(Statement), Where);
 }
 
--- a/src/session/entry_test.cpp
+++ b/src/session/entry_test.cpp
@@ -2,17 +2,18 @@
 #include "session/token.h"
 #include "wire/wire.h"
 
-#include "absl/strings/str_format.h"
-#include "absl/synchronization/notification.h"
-
 #include <doctest/doctest.h>
 
 #include <arpa/inet.h>
 #include <netinet/in.h>
+#include <sys/epoll.h>
+#include <sys/eventfd.h>
 #include <sys/socket.h>
 #include <sys/time.h>
 #include <unistd.h>
 
+#include <future>
+#include <mutex>
 #include <thread>
 
 using namespace toucan;
@@ -46,7 +47,7 @@
         this->L, Options,
         [this](const InstanceId &To, const proto::Envelope &Message) {
           {
-            absl::MutexLock Lock(&this->Mutex);
+            std::lock_guard Lock(this->Mutex);
             this->Sent.emplace_back(To.Value, Message);
           }
           if (this->Answer)
@@ -57,27 +58,33 @@
     auto Listening = capture([&] { return this->Service->listen(); });
     REQUIRE_MESSAGE(Listening, Listening.Problem.Message);
     this->Service->onView(testView());
+    this->L.watch(this->WakeFd, EPOLLIN, [this](uint32_t) { this->runTask(); });
     this->Thread = std::thread([this] { this->L.run(); });
   }
   ~Entry() {
-    this->L.stop();
+    this->call([this] { this->L.stop(); });
     this->Thread.join();
+    this->L.unwatch(this->WakeFd);
+    close(this->WakeFd);
   }
 
-  // Runs a task in the loop and waits for it.
-  void call(const std::function<void()> &Task) {
-    absl::Notification Done;
-    this->L.post([&] {
-      Task();
-      Done.Notify();
-    });
-    Done.WaitForNotification();
+  // Runs a task in the loop and waits for it. Loop::post() is not used, since the thread sanitizer
+  // does not see the mutex of Debian's Abseil, which is built without it.
+  void call(std::function<void()> Task) {
+    std::packaged_task<void()> New(std::move(Task));
+    std::future<void> Done = New.get_future();
+    {
+      std::lock_guard Lock(this->Mutex);
+      this->Next = std::move(New);
+    }
+    eventfd_write(this->WakeFd, 1);
+    Done.get();
   }
 
   bool wasSent(const std::string &To, proto::Envelope::BodyCase Body) {
     for (int I = 0; I < 500; ++I) {
       {
-        absl::MutexLock Lock(&this->Mutex);
+        std::lock_guard Lock(this->Mutex);
         for (const auto &[Target, Message] : this->Sent)
           if (Target == To && Message.body_case() == Body)
             return true;
@@ -87,12 +94,25 @@
     return false;
   }
 
+  void runTask() {
+    eventfd_t Count = 0;
+    eventfd_read(this->WakeFd, &Count);
+    std::packaged_task<void()> Task;
+    {
+      std::lock_guard Lock(this->Mutex);
+      Task = std::move(this->Next);
+    }
+    Task();
+  }
+
   Loop L;
+  int WakeFd = eventfd(0, EFD_CLOEXEC | EFD_NONBLOCK);
+  std::packaged_task<void()> Next;
   Metrics Counters;
   Pool Answer;
   std::unique_ptr<EntryService> Service;
   std::thread Thread;
-  absl::Mutex Mutex;
+  std::mutex Mutex;
   std::vector<std::pair<std::string, proto::Envelope>> Sent;
 };
 
@@ -231,7 +251,7 @@
   Client(E.Service->port()).send(wire::cancelRequest(1, OfB));
   REQUIRE(E.wasSent("b", proto::Envelope::kCancelCaller));
   E.call([&] {
-    absl::MutexLock Lock(&E.Mutex);
+    std::lock_guard Lock(E.Mutex);
     for (const auto &[To, Message] : E.Sent)
       CHECK_FALSE(Message.has_cancel());
   });
@@ -322,7 +342,7 @@
     CHECK_FALSE(E.Service->drained());
     proto::Envelope Exec;
     {
-      absl::MutexLock Lock(&E.Mutex);
+      std::lock_guard Lock(E.Mutex);
       Exec = E.Sent.front().second;
     }
     answerAtOnce(*E.Service, Exec);
@@ -353,7 +373,7 @@
     C.send(wire::query("begin"));
     REQUIRE(E.wasSent("a", proto::Envelope::kExec));
     E.call([&] {
-      absl::MutexLock Lock(&E.Mutex);
+      std::lock_guard Lock(E.Mutex);
       Id = E.Sent.front().second.exec().request_id();
     });
   }
--- a/src/session/local.cpp
+++ b/src/session/local.cpp
@@ -156,6 +156,31 @@
 
 } // namespace
 
+bool isUtf8(std::string_view Text) {
+  for (size_t I = 0; I < Text.size();) {
+    auto Lead = static_cast<unsigned char>(Text[I]);
+    size_t Length = Lead < 0x80       ? 1
+                    : Lead >> 5 == 6  ? 2
+                    : Lead >> 4 == 14 ? 3
+                    : Lead >> 3 == 30 ? 4
+                                      : 0;
+    if (Length == 0 || I + Length > Text.size())
+      return false;
+    uint32_t Code = Length == 1 ? Lead : Lead & (0xffU >> (Length + 1));
+    for (size_t K = 1; K < Length; ++K) {
+      auto Next = static_cast<unsigned char>(Text[I + K]);
+      if (Next >> 6 != 2)
+        return false;
+      Code = Code << 6 | (Next & 0x3fU);
+    }
+    constexpr uint32_t Smallest[] = {0, 0, 0x80, 0x800, 0x10000};
+    if (Code < Smallest[Length] || Code > 0x10ffff || (Code >= 0xd800 && Code < 0xe000))
+      return false;
+    I += Length;
+  }
+  return true;
+}
+
 Placement placeStatement(const sql::Statement &S, const SessionState &State, bool InBlock) {
   if (State.Tx.lost())
     return placeInLost(S, State.Tx);
--- a/src/session/local.h
+++ b/src/session/local.h
@@ -8,6 +8,7 @@
 
 #include <cstdint>
 #include <string>
+#include <string_view>
 
 namespace toucan::session {
 
@@ -25,6 +26,9 @@
   LocalError Error; // when refused
 };
 
+// Text in a message between instances must be UTF-8: one that is not is dropped by its receiver.
+bool isUtf8(std::string_view Text);
+
 // Decides who answers a statement. InBlock: a transaction is open, or begun earlier in the request.
 Placement placeStatement(const sql::Statement &S, const SessionState &State, bool InBlock);
 
--- a/src/session/machine.h
+++ b/src/session/machine.h
@@ -49,6 +49,9 @@
   size_t ParsesConfirmed = 0;
   bool EarlierMayHaveRun = false; // an earlier attempt
   uint64_t UncreditedBytes = 0;   // written to the caller
+
+  // May be sent again although it may have run.
+  bool repeatable() const { return this->IsRead && !this->Exec.once(); }
 };
 
 class Machine {
@@ -107,6 +110,7 @@
   std::string greeting() const;
   void failCollected(char FrameType, const LocalError &Error, Actions &Out);
   void updatePause(Actions &Out);
+  void shrinkReader();
 
   // machine_request.cpp: requests to the pool.
   void startRequest(Batch B, Instant Now, Actions &Out);
@@ -165,6 +169,7 @@
   uint64_t BytesWritten = 0; // written to the caller
   std::deque<Segment> Segments;
   bool Paused = false;
+  bool LargeInput = false; // the reader has held a large message
 };
 
 } // namespace toucan::session
--- a/src/session/machine_input.cpp
+++ b/src/session/machine_input.cpp
@@ -10,6 +10,7 @@
 constexpr uint32_t MajorShift = 16;
 // Bytes of pipelined requests that are read ahead while a request is under way.
 constexpr size_t MaxReadAheadBytes = 64 * 1024;
+constexpr size_t MaxIdleBufferBytes = 4 * 1024;
 constexpr std::string_view InvalidAuthorization = "28000";
 
 // Splits the "options" parameter at blanks; a backslash keeps the next character.
@@ -77,6 +78,7 @@
   }
   if (this->closed())
     return;
+  this->shrinkReader();
   this->updatePause(Out);
   if (this->Common.Draining && this->Phase == PhaseKind::Ready)
     this->onDrain(Out);
@@ -88,6 +90,15 @@
     this->pump(Now, Out);
 }
 
+// Gives the memory of a large message back: an idle session keeps at most a small buffer.
+void Machine::shrinkReader() {
+  this->LargeInput = this->LargeInput || this->Reader.pending() > MaxIdleBufferBytes;
+  if (!this->LargeInput || this->Reader.pending() > 0)
+    return;
+  this->Reader = wire::FrameReader(this->Common.Options.MaxFrameBytes);
+  this->LargeInput = false;
+}
+
 void Machine::updatePause(Actions &Out) {
   bool Waiting = this->Request || this->stalled();
   bool Want = Waiting && this->Reader.pending() > MaxReadAheadBytes;
@@ -168,6 +179,9 @@
   if (this->User.empty())
     return LocalError{.SqlState = std::string(InvalidAuthorization),
                       .Text = "no user name in the start-up packet"};
+  if (!isUtf8(this->User))
+    return LocalError{.SqlState = std::string(InvalidAuthorization),
+                      .Text = "the user name is not valid UTF-8"};
   this->Database.Value = Find("database");
   if (this->Database.Value.empty())
     this->Database.Value = this->User;
@@ -210,6 +224,10 @@
   if (Name == "replication" &&
       (Lower == "false" || Lower == "off" || Lower == "no" || Lower == "0"))
     return std::nullopt;
+  if (!isUtf8(Value))
+    return LocalError{.SqlState = "22021",
+                      .Text =
+                          absl::StrFormat("start-up parameter \"%s\" is not valid UTF-8", Name)};
   auto Outcome = this->State.Settings.set(absl::AsciiStrToLower(Name), Value);
   if (Outcome == CarriedSettings::Outcome::Done)
     return std::nullopt;
--- a/src/session/machine_request.cpp
+++ b/src/session/machine_request.cpp
@@ -18,9 +18,9 @@
 constexpr size_t FrameHeaderBytes = 5;
 
 // Reason a retry is counted under; None when a request that ends like this is not sent again.
-Reason retryReason(Verdict V, Reason R, bool IsRead) {
+Reason retryReason(Verdict V, Reason R, bool Repeatable) {
   if (V != Verdict::NotRun) {
-    if (!IsRead)
+    if (!Repeatable)
       return Reason::None;
     switch (R) {
     case Reason::TargetLost:
@@ -210,7 +210,7 @@
   absl::Duration Delay = this->retryDelay(RetryAfter);
   if (!this->mayRetry(V, R, Delay, Now))
     return this->endWithError(V, R, Detail, Now, Out);
-  Reason Counted = retryReason(V, R, Run.IsRead);
+  Reason Counted = retryReason(V, R, Run.repeatable());
   this->count(Counted, Out);
   Out.emplace_back(LogAction{.Level = LogLevel::Debug,
                              .Event = "request_retry",
@@ -228,7 +228,7 @@
 
 bool Machine::mayRetry(Verdict V, Reason R, absl::Duration Delay, Instant Now) {
   const Running &Run = *this->Request;
-  return retryReason(V, R, Run.IsRead) != Reason::None && Run.NextChunk == 0 &&
+  return retryReason(V, R, Run.repeatable()) != Reason::None && Run.NextChunk == 0 &&
          this->State.Tx.Lease.Value == 0 && Now + Delay < Run.Deadline &&
          this->Common.Budget.take();
 }
@@ -288,7 +288,12 @@
 // Relays a chunk, and those that waited for it, in the order of their sequence numbers.
 void Machine::takeChunk(const proto::Chunk &C, Instant Now, Actions &Out) {
   Running &R = *this->Request;
-  R.Early.emplace(C.sequence(), C.frames());
+  if (C.sequence() == R.NextChunk) {
+    ++R.NextChunk;
+    this->relayChunk(C.frames(), Now, Out);
+  } else {
+    R.Early.emplace(C.sequence(), C.frames());
+  }
   // The loop ends when a malformed chunk ends the request.
   while (this->Request && !R.Early.empty() && R.Early.begin()->first == R.NextChunk) {
     auto Node = R.Early.extract(R.Early.begin());
@@ -354,7 +359,8 @@
   if (reasonOf(D) != Reason::None) {
     if (D.lease() != this->State.Tx.Lease.Value)
       this->releaseLease(LeaseId(D.lease()), From, Out);
-    return this->failAttempt(verdictOf(D), reasonOf(D), D.detail(),
+    // The text ends at a null byte, which a message to the caller cannot hold.
+    return this->failAttempt(verdictOf(D), reasonOf(D), std::string(D.detail().c_str()),
                              absl::Microseconds(D.retry_after_us()), Now, Out);
   }
   if (D.chunks() > R.NextChunk) {
@@ -380,8 +386,7 @@
   if (Seen.InTerm.Value == 0)
     return;
   this->Floor = std::max(this->Floor, Seen);
-  bool Verified = this->Request->IsRead && this->Request->Exec.verify_floor();
-  this->FloorKnown = this->FloorKnown || D.wrote() || Verified;
+  this->FloorKnown = this->FloorKnown || D.wrote() || this->Request->Exec.verify_floor();
   if (!D.wrote())
     return;
   std::string Token = this->Common.Signer.sign(this->Database, Seen);
--- a/src/session/machine_test.cpp
+++ b/src/session/machine_test.cpp
@@ -102,6 +102,24 @@
         "cancel_request 11 22\nclose");
 }
 
+// Guards against a field that no other instance would accept: the whole envelope would be lost.
+TEST_CASE("text that is sent to other instances is UTF-8 and bounded") {
+  CHECK(has(startupAnswer("user=\xff database=orders"), "FATAL 28000"));
+  CHECK(has(startupAnswer("user=M\xc4\x81ui database=orders"), "Z I"));
+  Transcript T;
+  start(T);
+  std::string Long(300, 'x');
+  CHECK(has(joined(T.event("query select 1 /* request_id='\xe2\x82' */")), "ERROR 22021"));
+  CHECK(has(joined(T.event("query select 1 /* request_id='" + Long + "' */")), "ERROR 54000"));
+  CHECK(has(joined(T.event("query set toucanrun.request_id = '\xff'")), "ERROR 22021"));
+  CHECK(has(joined(T.event("parse |begin \xff")), "ERROR 22021"));
+  T.event("sync");
+  CHECK(has(joined(T.event("query set toucanrun.request_id = '" + Long + "'")), "ERROR"));
+  for (const char *Bad : {"\x80", "\xc0\xaf", "\xed\xa0\x80", "\xf4\x90\x80\x80", "\xe2\x82"})
+    CHECK_FALSE(isUtf8(Bad));
+  CHECK(isUtf8("\xf0\x9f\xa6\x9c kak\xc4\x81p\xc5\x8d"));
+}
+
 TEST_CASE("start-up: timeout, caller limit and drain") {
   Transcript Slow;
   Actions Out;
