--- a/src/pool/pool.cpp
+++ b/src/pool/pool.cpp
@@ -1,7 +1,7 @@
 // Messages, admission and the end of requests.
 #include "pool/service.h"
 
-#include "absl/strings/str_format.h"
+#include <algorithm>
 
 namespace toucan::pool {
 
@@ -69,6 +69,30 @@
   return Out;
 }
 
+// Tells the watcher whether requests need the state of the database. Without it an instance that
+// has just lost the ownership would serve its last requests by a state that no longer changes.
+void PoolService::Impl::keep(DatabaseState &D, bool InUse) {
+  if (D.Kept == InUse)
+    return;
+  D.Kept = InUse;
+  this->Groups.keep(D.Group.Name, InUse);
+  if (const group::GroupState *S = this->Groups.state(D.Group.Name))
+    this->onGroup(*S);
+  else
+    D.Dispatch.setState(nullptr);
+}
+
+// Decides whether the state of a database is still needed here.
+bool PoolService::Impl::inUse(const DatabaseState &D) const {
+  auto Uses = [&](const auto &Item) { return Item.second->Database == &D; };
+  if (this->InLoop.now() - D.LastRequest < this->Options.IdleConnection ||
+      std::any_of(this->Requests.begin(), this->Requests.end(), Uses))
+    return true;
+  return std::any_of(this->Leases.begin(), this->Leases.end(), [&](const auto &Item) {
+    return Item.second.On->options().Database == D.Group.Name;
+  });
+}
+
 void PoolService::Impl::onView(member::ViewPtr New) {
   this->View = std::move(New);
   for (auto &[Name, D] : this->Databases) {
@@ -144,7 +168,8 @@
   Reason Problem = this->admissionProblem(From, Exec);
   std::set<uint32_t> Hidden(Exec.hidden().begin(), Exec.hidden().end());
   auto Plan = planReplies(Exec.frames(), Hidden);
-  if (Problem == Reason::None && !Plan)
+  bool BadKey = Exec.request_key().find('\0') != std::string::npos;
+  if (Problem == Reason::None && (!Plan || BadKey))
     Problem = Reason::ProtocolViolation;
   if (Problem != Reason::None) {
     this->refuse(From, Exec, Problem);
@@ -161,6 +186,12 @@
   R.Deadline = Now + absl::Microseconds(Exec.budget_us());
   R.Database = this->database(DatabaseName(Exec.database()));
   R.Exec = std::move(Exec);
+  R.Database->LastRequest = Now;
+  this->keep(*R.Database, true);
+  bool Recorded = R.Exec.once() && !R.Exec.request_key().empty() && R.Exec.lease() == 0 &&
+                  R.Exec.kind() == proto::WRITE && executes(R.Plan);
+  if (Recorded)
+    R.Keyed = std::make_unique<KeyedRequest>(R.Exec.request_key(), R.Exec.frames(), R.Plan);
   this->ByCaller[{From, R.Exec.request_id()}] = R.Id;
   this->Requests[R.Id] = std::move(New);
   if (R.Exec.verify_floor() && R.Exec.lease() == 0)
@@ -388,17 +419,27 @@
 // Closes connections that were not used for a while.
 void PoolService::Impl::maintain() {
   Instant Now = this->InLoop.now();
+  size_t Queued = 0;
   for (auto &[Name, D] : this->Databases) {
+    Queued += D->Dispatch.queued();
+    if (D->Kept && !this->inUse(*D))
+      this->keep(*D, false);
     std::vector<Connection *> Unused;
     for (Connection *C : D->Idle)
       if (Now - C->IdleSince > this->Options.IdleConnection ||
           D->Dispatch.leaving(C->options().Target))
         Unused.push_back(C);
+    // A drop dispatches, which may put another one to use.
     for (Connection *C : Unused)
-      if (D->Dispatch.surplus(C->options().Target, Now))
+      if (std::find(D->Idle.begin(), D->Idle.end(), C) != D->Idle.end() &&
+          D->Dispatch.surplus(C->options().Target, Now))
         this->drop(*C, false, "idle");
     this->pump(*D);
   }
+  this->Counters.set("pool_queued", static_cast<int64_t>(Queued));
+  this->Counters.set("pool_requests_open", static_cast<int64_t>(this->Requests.size()));
+  this->Counters.set("pool_connections", static_cast<int64_t>(this->Connections.size()));
+  this->Counters.set("pool_leases", static_cast<int64_t>(this->Leases.size()));
   this->Maintenance = this->InLoop.at(Now + MaintenanceInterval, [this] { this->maintain(); });
 }
 
--- a/src/pool/relay.h
+++ b/src/pool/relay.h
@@ -30,6 +30,14 @@
 // Parses the value of ParameterStatus group_position, "TERM/POSITION".
 std::optional<LogPosition> parsePosition(std::string_view Value);
 
+// True when a majority is known to have P. A position of an earlier term says nothing of P: the
+// entry may have been removed at the change of primary.
+bool coveredBy(LogPosition Confirmed, LogPosition P);
+
+// Reads a notice or a parameter that comes outside of an answer, and takes over a reported
+// position. False for other frames.
+bool readAside(const wire::Frame &F, LogPosition &Position);
+
 // Collects whole frames into chunks of a limited size; a larger frame is a chunk of its own.
 class ChunkBuffer {
 public:
@@ -57,6 +65,7 @@
   // Known to be confirmed. An answer of the primary that may show a later position is held as well:
   // a write that the caller has seen must not be lost either.
   LogPosition Confirmed;
+  bool Collect = false; // keep the answer for takeAll() instead of chunks
 };
 
 enum class RelayStep : uint8_t {
@@ -78,6 +87,12 @@
   // A majority has the position that was returned last.
   void confirmed();
 
+  // The collected answer; without a position to wait for.
+  std::string takeAll();
+  // Ends the collection: the answer for the caller is Frames, held like any other.
+  void answerWith(std::string_view Frames);
+  bool collecting() const { return this->Options.Collect; }
+
   // The next chunk that may be sent under the credit.
   std::optional<std::string> takeChunk();
   void credit(uint64_t Bytes);
