--- a/standin/platform/server.cpp
+++ b/standin/platform/server.cpp
@@ -4,7 +4,6 @@
 #include "store.h"
 
 #include "absl/strings/str_format.h"
-#include "absl/synchronization/mutex.h"
 #include "absl/time/clock.h"
 
 #include <arpa/inet.h>
@@ -16,6 +15,7 @@
 #include <atomic>
 #include <cerrno>
 #include <cstring>
+#include <mutex>
 #include <optional>
 #include <thread>
 
@@ -80,13 +80,15 @@
   std::thread Listener;
   int Port = 0;
   std::atomic<bool> Stopping = false;
-  absl::Mutex Mutex;
-  Table Rows ABSL_GUARDED_BY(Mutex);
-  std::map<std::string, std::string> Objects ABSL_GUARDED_BY(Mutex);
-  LaggingList Instances ABSL_GUARDED_BY(Mutex){json{{"instances", json::array()}}};
-  LaggingList Groups ABSL_GUARDED_BY(Mutex){json{{"groups", json::array()}}};
-  Faults Active ABSL_GUARDED_BY(Mutex);
-  std::map<std::string, uint64_t> Counts ABSL_GUARDED_BY(Mutex);
+  // Guards the members below. Not absl::Mutex: Debian builds Abseil without the thread sanitizer,
+  // which then reports data under an absl::Mutex as races.
+  std::mutex Mutex;
+  Table Rows;
+  std::map<std::string, std::string> Objects;
+  LaggingList Instances{json{{"instances", json::array()}}};
+  LaggingList Groups{json{{"groups", json::array()}}};
+  Faults Active;
+  std::map<std::string, uint64_t> Counts;
 
   void addTableRoutes();
   void addObjectRoutes();
@@ -106,7 +108,7 @@
     Checks.push_back({.Key = C.at("key"), .Version = C.at("version")});
   for (const json &P : Body.value("puts", json::array()))
     Puts.push_back({.Key = P.at("key"), .Value = P.at("value")});
-  absl::MutexLock Lock(&this->Mutex);
+  std::lock_guard Lock(this->Mutex);
   if (auto Failed = this->Rows.failedCheck(Checks)) {
     answer(Out, 409, {{"key", Failed->Key}, {"version", Failed->Version}});
     return;
@@ -120,7 +122,7 @@
 
 void PlatformServer::Impl::addTableRoutes() {
   this->Http.Get("/v1/table/(.+)", [this](const Request &In, Response &Out) {
-    absl::MutexLock Lock(&this->Mutex);
+    std::lock_guard Lock(this->Mutex);
     auto Row = this->Rows.get(In.matches[1]);
     if (Row)
       answer(Out, 200, {{"version", Row->Version}, {"value", Row->Value}});
@@ -132,7 +134,7 @@
 
 void PlatformServer::Impl::addObjectRoutes() {
   this->Http.Get("/v1/objects/(.+)", [this](const Request &In, Response &Out) {
-    absl::MutexLock Lock(&this->Mutex);
+    std::lock_guard Lock(this->Mutex);
     auto It = this->Objects.find(In.matches[1]);
     if (It == this->Objects.end())
       answer(Out, 404, {{"error", "no such object"}});
@@ -140,7 +142,7 @@
       Out.set_content(It->second, "application/octet-stream");
   });
   this->Http.Put("/v1/objects/(.+)", [this](const Request &In, Response &Out) {
-    absl::MutexLock Lock(&this->Mutex);
+    std::lock_guard Lock(this->Mutex);
     this->Objects[In.matches[1]] = In.body;
     answer(Out, 200, json::object());
   });
@@ -148,14 +150,14 @@
 
 void PlatformServer::Impl::addListRoutes(const std::string &Name, LaggingList &List) {
   this->Http.Get("/v1/" + Name, [this, &List](const Request &, Response &Out) {
-    absl::MutexLock Lock(&this->Mutex);
+    std::lock_guard Lock(this->Mutex);
     answer(Out, 200, List.at(monotonicNow()));
   });
   this->Http.Put("/admin/" + Name, [this, Name, &List](const Request &In, Response &Out) {
     json Body = json::parse(In.body);
     if (!Body.is_object() || !Body.contains(Name) || !Body.at(Name).is_array())
       throw std::invalid_argument(absl::StrFormat("the body has no list \"%s\"", Name));
-    absl::MutexLock Lock(&this->Mutex);
+    std::lock_guard Lock(this->Mutex);
     List.change(std::move(Body), monotonicNow() + absl::Milliseconds(this->Active.ListLagMs));
     answer(Out, 200, json::object());
   });
@@ -164,12 +166,12 @@
 void PlatformServer::Impl::addAdminRoutes() {
   this->Http.Put("/admin/faults", [this](const Request &In, Response &Out) {
     Faults New = faultsOf(json::parse(In.body));
-    absl::MutexLock Lock(&this->Mutex);
+    std::lock_guard Lock(this->Mutex);
     this->Active = New;
     answer(Out, 200, json::object());
   });
   this->Http.Get("/admin/counts", [this](const Request &, Response &Out) {
-    absl::MutexLock Lock(&this->Mutex);
+    std::lock_guard Lock(this->Mutex);
     answer(Out, 200, json(this->Counts));
   });
 }
@@ -180,7 +182,7 @@
     return;
   Instant Deadline = monotonicNow();
   {
-    absl::MutexLock Lock(&this->Mutex);
+    std::lock_guard Lock(this->Mutex);
     Deadline += absl::Milliseconds(this->Active.DelayMs);
   }
   while (!this->Stopping && monotonicNow() < Deadline)
@@ -191,7 +193,7 @@
   this->Http.set_pre_routing_handler([this](const Request &In, Response &Out) {
     if (In.path.starts_with("/admin"))
       return httplib::Server::HandlerResponse::Unhandled;
-    absl::MutexLock Lock(&this->Mutex);
+    std::lock_guard Lock(this->Mutex);
     ++this->Counts[In.path];
     if (!this->Active.Down)
       return httplib::Server::HandlerResponse::Unhandled;
