Process tests: lagging replicas, two failures at once, frozen proxy, dying transaction

Cause: single failures alone do not show lost writes; replicas served no read in the tests so far. Ruled out: reading the serving target from the proxy, which has no counter for it; the stand-in now has pg_is_in_recovery(), a function of PostgreSQL that the proxy takes as a read. Change: four tests, and pg_is_in_recovery() in the stand-in.

--- a/standin/db/database.cpp
+++ b/standin/db/database.cpp
@@ -33,6 +33,12 @@
   sqlite3_result_value(Context, Values[0]);
 }
 
+void recoveryFunction(sqlite3_context *Context, int, sqlite3_value **) {
+  auto *Hooks = static_cast<SqlHooks *>(sqlite3_user_data(Context));
+  sqlite3_result_text(Context, Hooks != nullptr && Hooks->isReplica() ? "t" : "f", 1,
+                      SQLITE_STATIC);
+}
+
 int progress(void *Argument) { return static_cast<SqlHooks *>(Argument)->interrupted() ? 1 : 0; }
 
 void addFunctions(sqlite3 *Handle, SqlHooks *Hooks) {
@@ -40,6 +46,8 @@
                           nullptr);
   sqlite3_create_function(Handle, "raise_notice", 1, SQLITE_UTF8, Hooks, noticeFunction, nullptr,
                           nullptr);
+  sqlite3_create_function(Handle, "pg_is_in_recovery", 0, SQLITE_UTF8, Hooks, recoveryFunction,
+                          nullptr, nullptr);
   if (Hooks != nullptr)
     sqlite3_progress_handler(Handle, InterruptCheckSteps, progress, Hooks);
 }
--- a/standin/db/database.h
+++ b/standin/db/database.h
@@ -29,6 +29,7 @@
   // Waits; false when the request was cancelled.
   virtual bool sleep(std::chrono::milliseconds Time) = 0;
   virtual void notice(std::string_view Text) = 0;
+  virtual bool isReplica() = 0;
   // True when the running statement must stop.
   virtual bool interrupted() = 0;
 };
--- a/standin/db/group_test.cpp
+++ b/standin/db/group_test.cpp
@@ -159,6 +159,8 @@
   CHECK(R.parameter("group_position") == "1/7");
   CHECK(R.run("insert into t values (9)").State == "25006");
   CHECK(R.run("select count(*) from t").Rows[0][0] == "5");
+  CHECK(R.run("select pg_is_in_recovery()").Rows[0][0] == "t");
+  CHECK(C.run("select pg_is_in_recovery()").Rows[0][0] == "f");
 }
 
 // Guards against unconfirmed entries of an old primary that stay visible or count as received.
--- a/standin/db/session.h
+++ b/standin/db/session.h
@@ -82,6 +82,7 @@
   std::optional<SqlError> openHandle();
   bool sleep(std::chrono::milliseconds Time) override { return this->I.sleep(Time); }
   void notice(std::string_view Text) override;
+  bool isReplica() override { return this->Context.G.status().In == Role::Replica; }
   bool interrupted() override { return this->I.raised(); }
 
   // session_execute.cpp
--- a/tests/cluster.cpp
+++ b/tests/cluster.cpp
@@ -113,6 +113,28 @@
   return Answer && Answer->status == 200;
 }
 
+uint64_t Cluster::metric(const Member &M, const std::string &Name) const {
+  httplib::Client Http("127.0.0.1", M.Http);
+  auto Answer = Http.Get("/metrics");
+  if (!Answer || Answer->status != 200)
+    return 0;
+  size_t At = Answer->body.find("\n" + Name + " ");
+  return At == std::string::npos ? 0 : number(Answer->body.substr(At + Name.size() + 2));
+}
+
+void Cluster::setRules(const std::string &Text) const {
+  httplib::Client Http("127.0.0.1", this->PlatformPort);
+  auto Answer = Http.Post("/v1/table",
+                          absl::StrFormat(R"({"checks":[{"key":"config/rules","version":0}],)"
+                                          R"("puts":[{"key":"config/rules","value":"%s"}]})",
+                                          Text),
+                          "application/json");
+  REQUIRE(Answer);
+  REQUIRE(Answer->status == 200);
+  for (const Member &M : this->Proxies)
+    REQUIRE(eventually([&] { return this->metric(M, "toucanrun_rules_version") == 1; }));
+}
+
 void Cluster::waitReady() {
   for (const Member &M : this->Proxies)
     REQUIRE_MESSAGE(eventually([&] { return this->healthy(M); }), M.Name << " is not ready");
--- a/tests/cluster.h
+++ b/tests/cluster.h
@@ -46,6 +46,8 @@
 
   // Waits until /health of every proxy answers 200 and a first write is acknowledged.
   void waitReady();
+  // Puts the rules text and waits until every proxy has it.
+  void setRules(const std::string &Text) const;
   // Client through a proxy; Settings are start-up options.
   Client client(size_t Proxy, const std::string &Settings = "") const;
   // Client directly at a server: work in a term, or control when Term is 0.
@@ -70,6 +72,8 @@
   void publish() const;
   void put(const std::string &Path, const std::string &Body) const;
   bool healthy(const Member &M) const;
+  // Value of a line of /metrics without labels; 0 when there is none.
+  uint64_t metric(const Member &M, const std::string &Name) const;
 
   ClusterOptions Options;
   TestDir Dir;
--- a/tests/failure_test.cpp
+++ b/tests/failure_test.cpp
@@ -127,3 +127,66 @@
       },
       1, UnknownOutcomes::Forbidden);
 }
+
+// Guards against a change of primary that depends on the proxy that dies with the primary, and
+// against writes that were received by no replica and acknowledged all the same.
+TEST_CASE("kill -9 of primary and proxy together, with slow replication") {
+  for (size_t Killed : {0, 1}) {
+    CAPTURE(Killed);
+    Cluster C({.Proxies = 3, .ServerFlags = {"--ship-delay-ms=20"}});
+    C.waitReady();
+    size_t Old = C.primary();
+    REQUIRE(Old < C.servers());
+    checkWrites(
+        C,
+        [&] {
+          C.server(Old).kill();
+          C.proxy(Killed).kill();
+        },
+        2);
+    CHECK(C.primary() != Old);
+  }
+}
+
+// Guards against a proxy that goes on with old knowledge after a pause, in a changed group.
+TEST_CASE("a proxy that was frozen during a change of primary does no harm when it goes on") {
+  for (size_t Frozen : {0, 1}) {
+    CAPTURE(Frozen);
+    Cluster C;
+    C.waitReady();
+    size_t Old = C.primary();
+    REQUIRE(Old < C.servers());
+    checkWrites(
+        C,
+        [&] {
+          C.proxy(Frozen).signal(SIGSTOP);
+          C.server(Old).kill();
+          CHECK(eventually([&] { return C.primary() != Old && C.primary() < C.servers(); }));
+          C.proxy(Frozen).signal(SIGCONT);
+        },
+        1 - Frozen);
+  }
+}
+
+// Guards against a transaction that is half done, or goes on, when its proxy dies.
+TEST_CASE("a transaction is rolled back when its proxy dies") {
+  for (size_t Killed : {0, 1}) {
+    CAPTURE(Killed);
+    Cluster C;
+    C.waitReady();
+    REQUIRE(C.client(Killed).run("create table t(a integer)").ok());
+    Client Writer = C.client(Killed);
+    REQUIRE(Writer.run("begin").ok());
+    REQUIRE(Writer.run("insert into t values (1)").ok());
+    C.proxy(Killed).kill();
+    // The open transaction holds the only writer of the primary until it is rolled back.
+    Answer A;
+    CHECK_MESSAGE(eventually([&] {
+                    A = C.client(1 - Killed).run("insert into t values (2)");
+                    return A.ok();
+                  }),
+                  A.Message);
+    CHECK(C.client(1 - Killed).run("select a from t").Rows ==
+          std::vector<std::vector<std::string>>{{"2"}});
+  }
+}
--- a/tests/proxy_test.cpp
+++ b/tests/proxy_test.cpp
@@ -4,6 +4,7 @@
 #include <doctest/doctest.h>
 
 #include <chrono>
+#include <cstdlib>
 #include <functional>
 #include <sstream>
 #include <string>
@@ -193,3 +194,30 @@
   CHECK(B.run("commit").ok());
   CHECK(A.run("select a from t").Rows == std::vector<std::vector<std::string>>{{"2"}});
 }
+
+// Guards against reads at lagging replicas that miss the own writes of a session, or go back.
+TEST_CASE("reads at lagging replicas see own writes and never go back") {
+  Cluster C({.ServerFlags = {"--lag-ms=100"}});
+  C.waitReady();
+  REQUIRE(C.client(0).run("create table t(a bigint)").ok());
+  C.setRules("read database=orders table=t max_age=30s # test: process tests\\n");
+  constexpr auto Read = "select count(*), pg_is_in_recovery() from t";
+  // Without recent writes replicas serve; until then the rule has not been seen to work.
+  Client Reader = C.client(1);
+  REQUIRE(eventually([&] {
+    Answer A = Reader.run(Read);
+    return A.ok() && A.Rows[0][1] == "t";
+  }));
+  Client Writer = C.client(0);
+  int Seen = 0;
+  for (int I = 1; I <= 50; ++I) {
+    REQUIRE(Writer.run("insert into t values (1)").ok());
+    CHECK(Writer.run(Read).value() == std::to_string(I));
+    CHECK(C.client(1, "-c toucanrun.token=" + Writer.parameter("toucanrun.token"))
+              .run(Read)
+              .value() == std::to_string(I));
+    int Now = std::atoi(Reader.run(Read).value().c_str());
+    CHECK(Now >= Seen);
+    Seen = Now;
+  }
+}
