Session: a request id setting counts for one write

Cause: the setting toucanrun.request_id stayed in force after the write it was meant for, so the next write would count as a repetition and its rows would be lost once the pool drops repeated requests.

Ruled out: clearing it after every request; a caller that hears "may have run" sends the write again on the same session and needs the id.

Change: the setting goes with writes only and ends with the first that succeeds. Statements in a failed transaction go to the target, which refuses all but its end, rather than being answered here.

Conclusion: an id given by setting names one write.

--- a/src/session/collector.cpp
+++ b/src/session/collector.cpp
@@ -376,6 +376,7 @@
   for (const sql::Statement &S : What.Statements) {
     B.Begins = B.Begins || S.Is == Kind::Begin || S.Is == Kind::BeginReadOnly;
     B.Ends = B.Ends || S.Is == Kind::Commit || S.Is == Kind::Rollback;
+    B.Writes = B.Writes || S.Is == Kind::Write;
     B.AllRead = B.AllRead && (S.Is == Kind::Read || S.Is == Kind::Show);
     B.Facts.push_back({.Tables = S.Tables, .Fingerprint = What.Fingerprint});
   }
--- a/src/session/collector.h
+++ b/src/session/collector.h
@@ -32,6 +32,7 @@
   bool Begins = false;                    // has BEGIN
   bool Ends = false;                      // has COMMIT or ROLLBACK
   bool AllRead = true;                    // every statement is a read
+  bool Writes = false;                    // has a statement that may write
   bool Executes = false;                  // has Bind or Execute
   std::vector<rules::RequestFacts> Facts; // one for each statement, without the database
   bool TablesUnknown = false;             // a statement could not be parsed
--- a/src/session/local.cpp
+++ b/src/session/local.cpp
@@ -184,6 +184,9 @@
 Placement placeStatement(const sql::Statement &S, const SessionState &State, bool InBlock) {
   if (State.Tx.lost())
     return placeInLost(S, State.Tx);
+  // The target refuses everything but the end of a failed transaction.
+  if (State.Tx.Status == 'E')
+    return {.At = Place::Remote};
   if (std::string_view Text = unsupportedText(S.Is); !Text.empty())
     return refuse(Reason::NotSupported, std::string(Text));
   switch (S.Is) {
--- a/src/session/machine.h
+++ b/src/session/machine.h
@@ -33,6 +33,7 @@
   bool Begins = false;
   bool Ends = false;
   bool IsRead = false;
+  bool KeyFromSetting = false; // the request id is the session setting
   rules::WorkClass Class = rules::WorkClass::Short;
   std::vector<std::pair<std::string, PreparedPtr>> Defined;
   Instant Started;
--- a/src/session/machine_request.cpp
+++ b/src/session/machine_request.cpp
@@ -16,6 +16,7 @@
 // Bounds the memory of chunks that wait for an earlier one; the credit window holds 8 of them.
 constexpr size_t MaxEarlyChunks = 64;
 constexpr size_t FrameHeaderBytes = 5;
+constexpr const char *RequestIdSetting = "toucanrun.request_id";
 
 // Reason a retry is counted under; None when a request that ends like this is not sent again.
 Reason retryReason(Verdict V, Reason R, bool Repeatable) {
@@ -134,9 +135,8 @@
   E.set_work_class(P.Class == rules::WorkClass::Long ? proto::LONG : proto::SHORT);
   E.set_max_age_us(R.IsRead ? absl::ToInt64Microseconds(P.MaxAge) : 0);
   E.set_lease(Tx.Lease.Value);
-  E.set_request_key(B.RequestKey.empty()
-                        ? this->State.Settings.get("toucanrun.request_id").value_or("")
-                        : B.RequestKey);
+  R.KeyFromSetting = B.RequestKey.empty() && B.Writes;
+  E.set_request_key(R.KeyFromSetting ? *this->State.Settings.get(RequestIdSetting) : B.RequestKey);
   // A rule may name a table of a statement that could not be parsed.
   E.set_once(P.Once || (B.TablesUnknown && !E.request_key().empty()));
   E.set_fairness_key(this->Options.Address);
@@ -378,6 +378,10 @@
     return this->incomplete("more parts of the answer arrived than were sent", Now, Out);
   this->raiseFloor(D, Out);
   this->keepTransaction(D);
+  // The id is of one write; another write with the same id would count as its repetition. It stays
+  // until a write has succeeded, since the caller may send the request again.
+  if (this->Request->KeyFromSetting && !this->Request->ErrorRelayed)
+    this->State.Settings.reset(RequestIdSetting);
   this->finishRequest(this->Request->ErrorRelayed, Now, Out);
 }
 
