--- a/src/group/attempt.cpp
+++ b/src/group/attempt.cpp
@@ -8,9 +8,9 @@
 
 size_t majorityOf(size_t Servers) { return Servers / 2 + 1; }
 
-Attempt::Attempt(Term InTerm, std::string Proposer, std::vector<bool> Avoid, AttemptRules Rules)
-    : InTerm(InTerm), Proposer(std::move(Proposer)), Votes(Avoid.size()), Rejected(Avoid.size()),
-      Avoid(std::move(Avoid)), Rules(Rules) {}
+Attempt::Attempt(Term InTerm, std::string Proposer, PerServer<bool> Avoid, AttemptRules Rules)
+    : InTerm(InTerm), Proposer(std::move(Proposer)), Votes(Avoid.size()),
+      Rejected(Avoid.size(), false), Avoid(std::move(Avoid)), Rules(Rules) {}
 
 // A server whose answer names another proposer or a higher term is lost to this attempt.
 void Attempt::onAccept(size_t Server, const Status &Row) {
--- a/src/group/attempt.h
+++ b/src/group/attempt.h
@@ -4,11 +4,12 @@
 
 #include "group/status.h"
 
+#include "absl/container/inlined_vector.h"
+
 #include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
-#include <vector>
 
 namespace toucan::group {
 
@@ -19,6 +20,9 @@
   friend auto operator<=>(const Vote &, const Vote &) = default;
 };
 
+// One value for each server; groups have three servers as a rule.
+template <class T> using PerServer = absl::InlinedVector<T, 5>;
+
 // Smallest number of servers that overlaps with every other such number of servers.
 size_t majorityOf(size_t Servers);
 
@@ -34,7 +38,7 @@
   enum class Phase : uint8_t { Accepting, Promoting, Promoted, Abandoned };
 
   // Avoid[I]: server I is chosen only if its log is ahead of all others (a leaving target).
-  Attempt(Term InTerm, std::string Proposer, std::vector<bool> Avoid, AttemptRules Rules = {});
+  Attempt(Term InTerm, std::string Proposer, PerServer<bool> Avoid, AttemptRules Rules = {});
 
   // Answer of a server to the accept call of this attempt.
   void onAccept(size_t Server, const Status &Row);
@@ -53,15 +57,7 @@
     return this->Votes[Server].has_value() || this->Rejected[Server];
   }
 
-  friend bool operator==(const Attempt &A, const Attempt &B) {
-    return A.InTerm == B.InTerm && A.Proposer == B.Proposer && A.At == B.At && A.Votes == B.Votes &&
-           A.Rejected == B.Rejected && A.Chosen == B.Chosen;
-  }
-  template <class H> friend H AbslHashValue(H State, const Attempt &A) {
-    for (const std::optional<Vote> &V : A.Votes)
-      State = H::combine(std::move(State), V ? V->LogTerm.Value + 1 : 0, V ? V->Received : 0);
-    return H::combine(std::move(State), A.InTerm, static_cast<int>(A.At), A.Chosen, A.Rejected);
-  }
+  const PerServer<std::optional<Vote>> &votes() const { return this->Votes; }
 
 private:
   void choose();
@@ -69,9 +65,9 @@
   Term InTerm;
   std::string Proposer;
   Phase At = Phase::Accepting;
-  std::vector<std::optional<Vote>> Votes; // by server
-  std::vector<bool> Rejected;
-  std::vector<bool> Avoid;
+  PerServer<std::optional<Vote>> Votes;
+  PerServer<bool> Rejected;
+  PerServer<bool> Avoid;
   size_t Chosen = 0;
   AttemptRules Rules;
 };
--- a/src/group/change.cpp
+++ b/src/group/change.cpp
@@ -149,7 +149,7 @@
 void Monitor::startAttempt(std::string_view Cause, std::vector<bool> Asked, Instant Now) {
   Term T(std::max(this->TermSeen, this->LastAttempted).Value + 1);
   this->LastAttempted = T;
-  std::vector<bool> Avoid;
+  PerServer<bool> Avoid;
   for (Server &S : this->Servers) {
     Avoid.push_back(S.Def.Leaving);
     S.lane(Lane::Control).NextAt = Now;
--- a/src/group/confirm.cpp
+++ b/src/group/confirm.cpp
@@ -89,7 +89,7 @@
     size_t Same = std::count_if(B.Rows.begin(), B.Rows.end(), [&](const auto &Other) {
       return Other && Other->Accepted == Row->Accepted;
     });
-    if (Same >= majorityOf(this->Servers))
+    if (Same >= this->Quorum(this->Servers))
       return LogPosition{.InTerm = Row->Accepted, .Position = Row->Received};
   }
   return std::nullopt;
--- a/src/group/confirm.h
+++ b/src/group/confirm.h
@@ -34,6 +34,7 @@
   Instant nextDeadline() const;
   // Another set of servers: what is known of them is forgotten, the writes stay.
   void resize(size_t Count) { this->Servers.assign(Count, Known()); }
+  // A majority, with the primary that reported the position, holds it in its term.
   bool holds(LogPosition At) const;
 
 private:
@@ -47,7 +48,7 @@
   };
   bool termOver(Term T) const;
 
-  std::vector<Known> Servers;
+  PerServer<Known> Servers;
   size_t (*Quorum)(size_t);
   std::multimap<LogPosition, Write> Waiting;
 };
@@ -60,7 +61,8 @@
     std::optional<LogPosition> At; // empty at the deadline
   };
 
-  explicit Verifier(size_t Servers) : Servers(Servers) {}
+  explicit Verifier(size_t Servers, size_t (*Quorum)(size_t) = majorityOf)
+      : Servers(Servers), Quorum(Quorum) {}
 
   void add(uint64_t Ticket, Instant Deadline);
   // Numbers a probe that begins now. Requests added later need another probe.
@@ -83,6 +85,7 @@
   std::optional<LogPosition> decided(const Batch &B) const;
 
   size_t Servers;
+  size_t (*Quorum)(size_t);
   uint64_t LastProbe = 0;
   std::vector<Batch> Batches;
 };
--- a/src/group/monitor_test.cpp
+++ b/src/group/monitor_test.cpp
@@ -154,7 +154,7 @@
   // Appends a write at the primary and returns its position.
   LogPosition write(size_t I, int Id) {
     TestServer &S = this->Servers[I];
-    S.Log.push_back({.InTerm = S.Accepted, .Write = Id});
+    S.append(Id);
     S.Applied = S.Log.size();
     return {.InTerm = Term(S.Accepted), .Position = S.Log.size()};
   }
--- a/src/group/service_test.cpp
+++ b/src/group/service_test.cpp
@@ -268,7 +268,7 @@
   std::optional<LogPosition> Verified;
   auto Write = [&] {
     SocketServer *P = F.primary();
-    P->Server.Log.push_back({.InTerm = 1, .Write = 5});
+    P->Server.append(5);
     At = {.InTerm = Term(1), .Position = P->Server.Log.size()};
     Instant Deadline = F.L.now() + absl::Seconds(3);
     F.owner().confirm(F.Database, At, Deadline, [&](ConfirmResult R) { Confirmed = R; });
--- a/src/group/test_server.h
+++ b/src/group/test_server.h
@@ -5,23 +5,55 @@
 #include "group/status.h"
 
 #include <algorithm>
+#include <array>
+#include <cassert>
+#include <cstring>
 #include <string>
-#include <vector>
 
 namespace toucan::group {
 
 struct TestEntry {
-  uint64_t InTerm = 0;
-  int Write = -1; // -1: term-start entry
+  uint8_t InTerm = 0;
+  int8_t Write = -1; // -1: term-start entry
   friend auto operator<=>(const TestEntry &, const TestEntry &) = default;
 };
 
+// Fixed size, so that the model check copies states without allocations.
+class TestLog {
+public:
+  size_t size() const { return this->Count; }
+  bool empty() const { return this->Count == 0; }
+  const TestEntry &operator[](size_t I) const { return this->Entries[I]; }
+  const TestEntry &back() const { return this->Entries[this->Count - 1]; }
+  const TestEntry *begin() const { return this->Entries.data(); }
+  const TestEntry *end() const { return this->Entries.data() + this->Count; }
+  void push_back(TestEntry E) { // NOLINT(readability-identifier-naming): as in containers
+    assert(this->Count < this->Entries.size());
+    this->Entries[this->Count++] = E;
+  }
+  void truncate(size_t Size) {
+    while (this->Count > Size)
+      this->Entries[--this->Count] = TestEntry();
+  }
+  // Eight entries in two words, equal only for equal logs.
+  std::array<uint64_t, 2> packed() const {
+    assert(this->Count <= 8);
+    std::array<uint64_t, 2> Words{};
+    std::memcpy(Words.data(), this->Entries.data(), sizeof Words);
+    return Words;
+  }
+
+private:
+  size_t Count = 0;
+  std::array<TestEntry, 16> Entries{};
+};
+
 struct TestServer {
   uint64_t Accepted = 0;
   std::string Proposer;
   Role Is = Role::Fenced;
   bool Promoted = false; // the proposer of the accepted term has promoted this server
-  std::vector<TestEntry> Log;
+  TestLog Log;
   size_t Matched = 0; // entries known to be the same as in the log of the followed primary
   size_t Applied = 0;
   std::string Following;
@@ -57,11 +89,16 @@
       return this->row(false);
     this->Promoted = true;
     this->Is = Role::Primary;
-    this->Log.push_back({.InTerm = T, .Write = -1});
+    this->append(-1);
     this->Applied = this->Log.size();
     return this->row(true);
   }
 
+  void append(int Write) {
+    this->Log.push_back(
+        {.InTerm = static_cast<uint8_t>(this->Accepted), .Write = static_cast<int8_t>(Write)});
+  }
+
   Status follow(uint64_t T, const std::string &Address) {
     if (T < this->Accepted || (T == this->Accepted && this->Is == Role::Primary))
       return this->row(false);
@@ -79,12 +116,12 @@
 
   // Receives the next entry of the primary's log. The first one found to differ removes the rest
   // of the own log.
-  bool receive(const std::vector<TestEntry> &Primary) {
+  bool receive(const TestLog &Primary) {
     if (this->Is != Role::Replica || this->Matched >= Primary.size())
       return false;
     const TestEntry &Next = Primary[this->Matched];
     if (this->Matched < this->Log.size() && this->Log[this->Matched] != Next)
-      this->Log.resize(this->Matched);
+      this->Log.truncate(this->Matched);
     if (this->Matched == this->Log.size())
       this->Log.push_back(Next);
     ++this->Matched;
