Address replies to the incarnation that asked

Cause: found in review. Request ids start anew with each process; a Chunk or Done for an instance's earlier process can reach its successor on the same address (the sender's DEALER reconnects), and a caller would get another caller's answer. Ruled out: random start of the request ids (32 bits are left for the session, so a collision stays possible); closing the DEALER on the new incarnation alone, since the queue may be delivered first. Change: Envelope.to_incarnation, set by the pool, checked in the daemon's routing; counter link_stale_total.

--- a/src/daemon/app.cpp
+++ b/src/daemon/app.cpp
@@ -213,6 +213,10 @@
 // Decides which duty a message is for. Callable from any loop, except for control messages, which
 // only the link delivers.
 void App::Impl::route(const InstanceId &From, proto::Envelope Message) {
+  if (Message.to_incarnation() != 0 && Message.to_incarnation() != this->Options.Incarnation) {
+    this->Counters.add("link_stale_total");
+    return;
+  }
   switch (Message.body_case()) {
   case proto::Envelope::kExec:
   case proto::Envelope::kCredit:
--- a/src/pool/execute.cpp
+++ b/src/pool/execute.cpp
@@ -244,6 +244,7 @@
       continue;
     }
     proto::Envelope E;
+    E.set_to_incarnation(R.Incarnation);
     proto::Chunk &M = *E.mutable_chunk();
     M.set_request_id(R.Exec.request_id());
     M.set_sequence(R.Reply->chunksSent() - 1);
@@ -299,6 +300,7 @@
   this->Counters.add(!R.read()     ? "pool_served_writes_total"
                      : R.AtPrimary ? "pool_served_reads_primary_total"
                                    : "pool_served_reads_replica_total");
+  E.set_to_incarnation(R.Incarnation);
   InstanceId To = R.From;
   this->erase(R);
   this->Send(To, std::move(E));
--- a/src/pool/keep_test.cpp
+++ b/src/pool/keep_test.cpp
@@ -43,6 +43,32 @@
 
 } // namespace
 
+// Guards against an answer to an earlier process of an instance that reaches its successor, which
+// numbers its requests anew: a caller would get the answer to another caller's request.
+TEST_CASE("replies name the incarnation that asked") {
+  Loop L;
+  Metrics M;
+  KeptOnly Groups;
+  std::vector<proto::Envelope> Sent;
+  PoolService Pool(
+      L, {.Self = InstanceId("a")},
+      [&](const InstanceId &, proto::Envelope E) {
+        Sent.push_back(std::move(E));
+        return true;
+      },
+      Groups, M);
+  auto View = std::make_shared<member::View>();
+  View->Rules = std::make_shared<rules::RuleSet>();
+  View->RulesKnown = true;
+  Pool.onView(View);
+  proto::Envelope Request = read(1);
+  Request.set_incarnation(7);
+  Pool.onEnvelope(InstanceId("b"), Request);
+  REQUIRE(Sent.size() == 1);
+  CHECK(Sent[0].done().reason() == static_cast<uint32_t>(Reason::UnknownDatabase));
+  CHECK(Sent[0].to_incarnation() == 7);
+}
+
 // Guards against a request at an instance that has just lost the ownership: it waited for its
 // whole deadline on a group state that nobody kept up to date.
 TEST_CASE("a request for a database makes its group watched, by whomever it is owned") {
--- a/src/pool/pool.cpp
+++ b/src/pool/pool.cpp
@@ -174,7 +174,7 @@
   if (Problem == Reason::None && (!Plan || BadKey))
     Problem = Reason::ProtocolViolation;
   if (Problem != Reason::None) {
-    this->refuse(From, Exec, Problem);
+    this->refuse(From, Incarnation, Exec, Problem);
     return;
   }
   Instant Now = this->InLoop.now();
@@ -276,8 +276,10 @@
   D.set_tx_status(static_cast<uint32_t>(It->second.Status));
 }
 
-void PoolService::Impl::refuse(const InstanceId &To, const proto::ExecRequest &Exec, Reason Why) {
+void PoolService::Impl::refuse(const InstanceId &To, uint64_t Incarnation,
+                               const proto::ExecRequest &Exec, Reason Why) {
   proto::Envelope E = doneEnvelope(Exec.request_id(), Verdict::NotRun, Why);
+  E.set_to_incarnation(Incarnation);
   this->describeLease(Exec.lease(), To, *E.mutable_done());
   this->countRefusal(Why);
   LogEvent(LogLevel::Info, "pool_request_refused")
@@ -308,6 +310,7 @@
       .kv("target", R.Target.Value)
       .kv("detail", Detail);
   D.set_detail(std::move(Detail));
+  E.set_to_incarnation(R.Incarnation);
   InstanceId To = R.From;
   this->erase(R);
   this->Send(To, std::move(E));
--- a/src/pool/service.h
+++ b/src/pool/service.h
@@ -110,7 +110,8 @@
   Ticket ticketOf(const Request &R) const;
   void countRefusal(Reason Why);
   // Sends a refusal of a request that is not known yet.
-  void refuse(const InstanceId &To, const proto::ExecRequest &Exec, Reason Why);
+  void refuse(const InstanceId &To, uint64_t Incarnation, const proto::ExecRequest &Exec,
+              Reason Why);
   // Ends a request without the target's own answer.
   void fail(Request &R, Reason Why, Verdict Outcome, std::string Detail = "",
             absl::Duration RetryAfter = absl::ZeroDuration());
