Read the list of instances alone in toucanctl

Cause: rules apply read both lists in each round of 200 ms and more; the list of groups has 17,000 entries at full size, and the platform serves about 2,000 reads/s to all users. The last round before the deadline could be too short for answers, and then replaced "has version 6" by "no answer". Ruled out: the list read once, since an instance may join or leave during the wait. Change: Client::instances(); rules apply reads the list at most once a second and starts no round with less than 200 ms left; the time in "no answer within" counts from the question.

--- a/src/ctl/ask.cpp
+++ b/src/ctl/ask.cpp
@@ -50,15 +50,15 @@
     }
   }
 
-  std::vector<Answer> receive(Instant Deadline) {
-    Instant Start = monotonicNow();
+  std::vector<Answer> receive(Instant Start, Instant Deadline) {
     while (this->poll(Deadline)) {
     }
+    absl::Duration Waited =
+        std::max(absl::ZeroDuration(), absl::Ceil(Deadline - Start, absl::Milliseconds(1)));
     for (size_t I = 0; I < this->Peers.size(); ++I)
       if (this->Sockets[I])
         this->Answers[I].Problem = this->at(
-            I, absl::StrFormat("no answer within %d ms",
-                               std::max<int64_t>(0, absl::ToInt64Milliseconds(Deadline - Start))));
+            I, absl::StrFormat("no answer within %d ms", absl::ToInt64Milliseconds(Waited)));
     return std::move(this->Answers);
   }
 
@@ -118,10 +118,11 @@
 
 std::vector<Answer> askAll(const std::vector<Peer> &Peers, const proto::Envelope &Question,
                            proto::Envelope::BodyCase Expected, Instant Deadline) {
+  Instant Start = monotonicNow();
   raiseDescriptorLimit();
   Round R(Peers, Expected);
   R.send(Question.SerializeAsString());
-  return R.receive(Deadline);
+  return R.receive(Start, Deadline);
 }
 
 } // namespace toucan::ctl
--- a/src/ctl/instances.cpp
+++ b/src/ctl/instances.cpp
@@ -22,8 +22,8 @@
 
 Result<Survey> survey(Context &C, const proto::Envelope &Question,
                       proto::Envelope::BodyCase Expected) {
-  BOOST_LEAF_AUTO(Directory, C.Platform.directory());
-  Survey Out{.Instances = std::move(Directory.Instances), .Answers = {}};
+  BOOST_LEAF_AUTO(Instances, C.Platform.instances());
+  Survey Out{.Instances = std::move(Instances), .Answers = {}};
   std::sort(Out.Instances.begin(), Out.Instances.end(),
             [](const auto &A, const auto &B) { return A.Id < B.Id; });
   std::vector<Peer> Peers;
@@ -199,10 +199,10 @@
 
 int drain(Context &C) {
   InstanceId Id(C.Line.Arguments.at("INSTANCE"));
-  auto Directory = capture([&] { return C.Platform.directory(); });
-  if (!Directory)
-    return C.fail(ExitUnreachable, Directory.Problem.Message);
-  const auto &All = Directory->Instances;
+  auto Instances = capture([&] { return C.Platform.instances(); });
+  if (!Instances)
+    return C.fail(ExitUnreachable, Instances.Problem.Message);
+  const auto &All = *Instances;
   auto It = std::find_if(All.begin(), All.end(), [&](const auto &Row) { return Row.Id == Id; });
   if (It == All.end())
     return C.fail(ExitUsage,
--- a/src/ctl/rules.cpp
+++ b/src/ctl/rules.cpp
@@ -20,6 +20,7 @@
 
 constexpr std::string_view RulesKey = "config/rules";
 constexpr absl::Duration RetryInterval = absl::Milliseconds(200);
+constexpr absl::Duration ListInterval = absl::Seconds(1); // between reads of the instance list
 // A silent instance must not delay the next question to the others.
 constexpr absl::Duration MaxRound = absl::Seconds(1);
 
@@ -157,9 +158,9 @@
   return R;
 }
 
-std::vector<Peer> livePeers(const platform::Directory &Directory) {
+std::vector<Peer> livePeers(const std::vector<platform::InstanceRow> &Instances) {
   std::vector<Peer> Out;
-  for (const platform::InstanceRow &Row : Directory.Instances)
+  for (const platform::InstanceRow &Row : Instances)
     if (!Row.Leaving)
       Out.push_back(peerOf(Row));
   return Out;
@@ -168,29 +169,33 @@
 // Asks until all live instances have the version, or the time to confirm has passed.
 void confirm(Context &C, ApplyReport &R) {
   Instant Deadline = monotonicNow() + C.ConfirmTimeout;
+  Instant NextList = monotonicNow();
   proto::Envelope Question;
   Question.mutable_status_request();
   Confirmation State(R.Version);
-  bool ListRead = false;
+  R.Unreachable = true;
   for (;;) {
     State.beginRound();
-    auto Directory = capture([&] { return C.Platform.directory(); });
-    R.Detail = Directory ? "" : Directory.Problem.Message;
-    ListRead = ListRead || Directory;
-    if (Directory)
-      State.expect(livePeers(*Directory));
+    if (monotonicNow() >= NextList) {
+      auto Instances = capture([&] { return C.Platform.instances(); });
+      R.Detail = Instances ? "" : Instances.Problem.Message;
+      R.Unreachable = R.Unreachable && !Instances;
+      if (Instances)
+        State.expect(livePeers(*Instances));
+      NextList = monotonicNow() + ListInterval;
+    }
     Instant RoundEnd = std::min(Deadline, monotonicNow() + std::min(C.Timeout, MaxRound));
     for (const Answer &A : askAll(State.toAsk(), Question, proto::Envelope::kStatusReply, RoundEnd))
       State.record(A);
     State.endRound();
-    if (State.complete() || monotonicNow() + RetryInterval >= Deadline)
+    // A last round that is too short for answers would hide what instances said before.
+    if (State.complete() || monotonicNow() + 2 * RetryInterval >= Deadline)
       break;
     absl::SleepFor(RetryInterval);
   }
   R.Result = State.complete() ? ApplyResult::InForce : ApplyResult::NotConfirmed;
   R.Live = State.expected();
   R.Missing = State.missing();
-  R.Unreachable = !ListRead;
 }
 
 void say(const Context &C, const std::string &Text) {
--- a/src/platform/platform.cpp
+++ b/src/platform/platform.cpp
@@ -204,19 +204,25 @@
 
 Client::~Client() = default;
 
+Result<std::vector<InstanceRow>> Client::instances() {
+  Answer A = this->State->call("GET", "/v1/instances");
+  return this->State->get("/v1/instances", A, [](const json &Body) {
+    std::vector<InstanceRow> Out;
+    for (const json &Row : Body.at("instances"))
+      Out.push_back(instanceOf(Row));
+    return Out;
+  });
+}
+
 Result<Directory> Client::directory() {
   Directory Out;
-  Answer Instances = this->State->call("GET", "/v1/instances");
-  BOOST_LEAF_CHECK(this->State->get("/v1/instances", Instances, [&](const json &Body) {
-    for (const json &Row : Body.at("instances"))
-      Out.Instances.push_back(instanceOf(Row));
-    return Unit{};
-  }));
-  Answer Groups = this->State->call("GET", "/v1/groups");
-  BOOST_LEAF_CHECK(this->State->get("/v1/groups", Groups, [&](const json &Body) {
+  BOOST_LEAF_ASSIGN(Out.Instances, this->instances());
+  Answer A = this->State->call("GET", "/v1/groups");
+  BOOST_LEAF_ASSIGN(Out.Groups, this->State->get("/v1/groups", A, [](const json &Body) {
+    std::vector<member::Group> Groups;
     for (const json &Row : Body.at("groups"))
-      Out.Groups.push_back(groupOf(Row));
-    return Unit{};
+      Groups.push_back(groupOf(Row));
+    return Groups;
   }));
   return Out;
 }
--- a/src/platform/platform.h
+++ b/src/platform/platform.h
@@ -61,6 +61,8 @@
   ~Client();
 
   Result<Directory> directory();
+  // The list of instances alone: the list of groups is far longer.
+  Result<std::vector<InstanceRow>> instances();
   Result<Row> read(const std::string &Key);
   // Writes if the row still has the expected version (0: if it does not exist).
   WriteOutcome compareAndSet(const std::string &Key, uint64_t ExpectedVersion,
