--- a/src/ctl/ctl_test.cpp
+++ b/src/ctl/ctl_test.cpp
@@ -109,7 +109,7 @@
   }
   void writeFile(const std::string &Text) { std::ofstream(this->File) << Text; }
   int call(std::vector<std::string> Args) {
-    Args.push_back("--platform=" + this->Url);
+    Args.push_back("--platform-url=" + this->Url);
     Args.push_back("--timeout-ms=1000");
     Args.push_back("--confirm-ms=2000");
     this->Out.str("");
