Link: send a request only to a peer that has been heard from

Cause: the process tests hung for 30 s at about 1 start in 15 (4 of 61) with reason request_deadline. An instance that had read the platform's lists forwarded a request to the owner, which had not read them yet. The owner refused it, but dropped the answer, because the sender was not in its view. Later pongs hid the loss from the silence check, so the caller got an unknown outcome at its deadline. Ruled out: the target; its log had only the requests that were answered. Change: the first request to a peer that has not been heard from becomes a ping and counts as not sent (LinkDown, not run, tried again); a peer answers a ping only when it knows the sender.

--- a/src/link/link.cpp
+++ b/src/link/link.cpp
@@ -51,6 +51,7 @@
   void reply(const std::string &RoutingId, const proto::Envelope &Message);
   bool send(const InstanceId &To, proto::Envelope Message);
   bool sendTo(Peer &P, proto::Envelope &Message);
+  void ping(Peer &P);
   void connect(Peer &P);
   void drop(const InstanceId &Id, std::string_view Cause);
   void pingPeers();
@@ -147,6 +148,13 @@
   if (It == this->Peers.end())
     return false;
   Peer &P = It->second;
+  // A peer that does not know this instance yet drops its answers to it, and the request would
+  // wait to its deadline. A peer that has been heard from knows this instance.
+  if (Message.has_exec() && P.LastHeard == absl::InfinitePast()) {
+    P.LastSent = this->InLoop.now();
+    this->ping(P);
+    return false;
+  }
   // Answers to a ping do not count as use: two idle peers would ping each other for ever.
   bool Use = !Message.has_pong() && !Message.has_ping() && !Message.has_heartbeat();
   if (!this->sendTo(P, Message))
@@ -203,6 +211,14 @@
   this->Handlers.OnPeerLost(Id);
 }
 
+void LinkService::Impl::ping(Peer &P) {
+  proto::Envelope Ping;
+  Ping.mutable_ping()->set_sequence(++this->PingCount);
+  this->sendTo(P, Ping);
+  if (P.SilentSince == absl::InfiniteFuture())
+    P.SilentSince = this->InLoop.now();
+}
+
 void LinkService::Impl::pingPeers() {
   // Messages that arrived while this process was stopped are counted before silence is judged.
   this->onReadable();
@@ -215,11 +231,7 @@
     }
     if (P.LastSent + PingAfterUse < Now)
       continue;
-    proto::Envelope Ping;
-    Ping.mutable_ping()->set_sequence(++this->PingCount);
-    this->sendTo(P, Ping);
-    if (P.SilentSince == absl::InfiniteFuture())
-      P.SilentSince = Now;
+    this->ping(P);
   }
   for (const InstanceId &Id : Lost)
     this->drop(Id, "silent");
--- a/src/link/link.h
+++ b/src/link/link.h
@@ -51,7 +51,8 @@
 
   // The peers that may be sent to; others are dropped.
   void setPeers(std::map<InstanceId, PeerAddress> Peers);
-  // Returns false when the message was certainly not sent: unknown peer or full queue.
+  // Returns false when the message was certainly not sent: unknown peer, full queue, or a request
+  // to a peer that has not been heard from yet; that peer is then pinged.
   bool send(const InstanceId &To, proto::Envelope Message);
 
 private:
--- a/src/link/link_test.cpp
+++ b/src/link/link_test.cpp
@@ -78,6 +78,36 @@
   CHECK(A.Lost.empty());
 }
 
+// Guards against a request to a peer that does not know the sender yet and drops its answer.
+TEST_CASE("a request is sent only to a peer that has been heard from") {
+  Loop L;
+  End A(L, "a", [] {});
+  End B(L, "b", [&] { L.stop(); });
+  REQUIRE(capture([&] { return A.Service.bind(); }));
+  REQUIRE(capture([&] { return B.Service.bind(); }));
+  A.Service.setPeers({{InstanceId("b"), {.Endpoint = address(B)}}});
+  proto::Envelope Request;
+  Request.mutable_exec()->set_request_id(7);
+  bool Known = false;
+  std::function<void()> Try = [&] {
+    bool Sent = A.Service.send(InstanceId("b"), Request);
+    CHECK((Known || !Sent));
+    if (!Sent)
+      L.at(L.now() + absl::Milliseconds(20), Try);
+  };
+  Try();
+  L.at(L.now() + absl::Milliseconds(100), [&] {
+    CHECK(B.Received.empty());
+    Known = true;
+    B.Service.setPeers({{InstanceId("a"), {.Endpoint = address(A)}}});
+  });
+  L.at(monotonicNow() + TestLimit, [&] { L.stop(); });
+  L.run();
+  REQUIRE(B.Received.size() == 1);
+  CHECK(B.Received[0].exec().request_id() == 7);
+  CHECK(A.Lost.empty());
+}
+
 // Guards against a request that waits for ever because its link went silent, and against messages
 // delivered after the sender has given up.
 TEST_CASE("a silent peer is reported lost and its queued messages are dropped") {
