--- a/tests/cluster.cpp
+++ b/tests/cluster.cpp
@@ -35,12 +35,16 @@
     M.Name = absl::StrFormat("%s-%d", this->Options.Database, I);
     this->startServer(M);
   }
-  for (int I = 1; I <= this->Options.Proxies; ++I) {
-    Member &M = this->Proxies.emplace_back();
-    M.Name = absl::StrFormat("entry-%d", I);
-    this->startProxy(M);
-  }
+  for (int I = 0; I < this->Options.Proxies; ++I)
+    this->startProxy();
+  this->publish();
+}
+
+void Cluster::addProxy() {
+  this->startProxy();
   this->publish();
+  const Member &M = this->Proxies.back();
+  REQUIRE_MESSAGE(eventually([&] { return this->healthy(M); }), M.Name << " is not ready");
 }
 
 void Cluster::startServer(Member &M) {
@@ -59,7 +63,9 @@
   REQUIRE(M.Port != 0);
 }
 
-void Cluster::startProxy(Member &M) {
+void Cluster::startProxy() {
+  Member &M = this->Proxies.emplace_back();
+  M.Name = absl::StrFormat("entry-%d", this->Proxies.size());
   std::vector<std::string> Flags = {
       "--instance-id=" + M.Name,
       "--data-centre=dc1",
--- a/tests/cluster.h
+++ b/tests/cluster.h
@@ -55,6 +55,8 @@
   ServerStatus status(size_t Server) const;
   // Index of the primary of the highest term, once there is one; servers() after the limit.
   size_t primary() const;
+  // Starts one more proxy, adds it to the platform's list and waits until it is ready.
+  void addProxy();
   // Starts an ended server again on its port and data.
   void restartServer(size_t I);
 
@@ -68,7 +70,7 @@
   };
 
   void startServer(Member &M);
-  void startProxy(Member &M);
+  void startProxy();
   void publish() const;
   void put(const std::string &Path, const std::string &Body) const;
   bool healthy(const Member &M) const;
--- a/tests/proxy_test.cpp
+++ b/tests/proxy_test.cpp
@@ -221,3 +221,20 @@
     Seen = Now;
   }
 }
+
+// Guards against a request that is sent to an owner which does not know the new instance yet and
+// cannot answer it: the caller would wait to the deadline and get an unknown outcome.
+TEST_CASE("a proxy that has just joined serves its first callers") {
+  Cluster C;
+  C.waitReady();
+  REQUIRE(C.client(0).run("create table t(a bigint)").ok());
+  for (int I = 0; I < 4; ++I) {
+    C.addProxy();
+    Answer A;
+    CHECK(eventually([&] {
+      A = C.client(C.proxies() - 1).run("insert into t values (1)");
+      return A.ok() || !A.notRun();
+    }));
+    CHECK_MESSAGE(A.ok(), A.State << " " << A.Message);
+  }
+}
