Pool: long work leaves the slots that short work needs

Cause: with one free slot a target kept, short work queued behind long work as soon as its load exceeded that slot. Change: in each lane, long work is limited to the slots above the level of short work of the last seconds plus two standard deviations of a Poisson count; one long request may always run.

--- a/src/pool/choose.cpp
+++ b/src/pool/choose.cpp
@@ -2,6 +2,8 @@
 #include "pool/dispatch.h"
 
 #include <algorithm>
+#include <cmath>
+#include <utility>
 
 namespace toucan::pool {
 
@@ -13,6 +15,13 @@
 constexpr absl::Duration MinRetryAfter = absl::Milliseconds(20);
 // Free slots of the primary that reads spilled from full replicas leave for other work.
 constexpr uint32_t SpillReserve = 1;
+// Time constant of the average of short work.
+constexpr absl::Duration AverageTime = absl::Seconds(2);
+// The level of short work follows the average at once when it rises, and with this time constant
+// when it falls: demand comes back within seconds, and a long request holds its slot for long.
+constexpr absl::Duration LevelFallTime = absl::Seconds(30);
+// Standard deviations of a Poisson count that are kept free above the average.
+constexpr double ShortSpread = 2;
 
 size_t index(WorkClass Class) { return static_cast<size_t>(Class); }
 
@@ -111,6 +120,41 @@
   return EachTarget * std::max(1U, Count);
 }
 
+// Requests of a class that execute or wait in a lane.
+uint32_t Dispatcher::inLane(WorkClass Class, Lane L) const {
+  size_t Count = this->lane(Class, L).size();
+  for (const auto &[Id, T] : this->Targets)
+    if ((this->State && this->State->Primary == Id) == (L == PrimaryLane))
+      Count += T.Executing[index(Class)];
+  return static_cast<uint32_t>(Count);
+}
+
+// Exponential average over time and its level; ShortNow has held since the last call.
+void Dispatcher::averageShortWork(Instant Now) {
+  absl::Duration Passed = Now - std::exchange(this->AveragedAt, Now);
+  double Weight = 1 - std::exp(-absl::FDivDuration(Passed, AverageTime));
+  double FallWeight = 1 - std::exp(-absl::FDivDuration(Passed, LevelFallTime));
+  for (Lane L : {PrimaryLane, ReplicaLane}) {
+    double &Average = this->ShortAverage[L];
+    double &Level = this->ShortLevel[L];
+    Average += Weight * (this->ShortNow[L] - Average);
+    Level = Average > Level ? Average : Level + FallWeight * (Average - Level);
+  }
+}
+
+// Decides whether one more long request leaves enough slots of a lane to short work: those that the
+// short work of the last seconds has used, with room for its variation. One long request may always
+// run, so that long work makes progress.
+bool Dispatcher::longWithinLimit(Lane L) const {
+  double Level = this->ShortLevel[L];
+  auto Reserve = static_cast<uint32_t>(std::ceil(Level + ShortSpread * std::sqrt(Level)));
+  uint32_t Slots = this->laneSlots(L, WorkClass::Short);
+  uint32_t Limit = Slots > Reserve ? Slots - Reserve : 0;
+  uint32_t Running = this->inLane(WorkClass::Long, L) -
+                     static_cast<uint32_t>(this->lane(WorkClass::Long, L).size());
+  return Running < std::max(1U, Limit);
+}
+
 // Time until a new request would start, from the learned service time of its class.
 absl::Duration Dispatcher::estimatedWait(const Ticket &T) const {
   Lane L = T.ReplicaAllowed ? ReplicaLane : PrimaryLane;
--- a/src/pool/dispatch.cpp
+++ b/src/pool/dispatch.cpp
@@ -233,6 +233,7 @@
   std::vector<Action> Out;
   this->expire(Now, Out);
   this->reviewParked(Now);
+  this->averageShortWork(Now);
   this->startPinned(Out);
   if (this->longIsOverdue(Now)) {
     this->startPrimary(WorkClass::Long, Out);
@@ -243,6 +244,8 @@
     this->startReplica(Class, Now, Out);
   }
   this->openConnections(Now, Out);
+  for (Lane L : {PrimaryLane, ReplicaLane})
+    this->ShortNow[L] = this->inLane(WorkClass::Short, L);
   return Out;
 }
 
@@ -319,7 +322,7 @@
 
 void Dispatcher::startPrimary(WorkClass Class, std::vector<Action> &Out) {
   FairQueue &Q = this->lane(Class, PrimaryLane);
-  while (!Q.empty()) {
+  while (!Q.empty() && (Class == WorkClass::Short || this->longWithinLimit(PrimaryLane))) {
     auto T = Q.take([&](const Ticket &T) { return this->primaryTakes(T); }, MaxKeysPerPass);
     if (!T)
       return;
@@ -336,7 +339,7 @@
       return false;
     return Found.Result != Fit::Busy || this->spillTakes(T);
   };
-  while (!Q.empty()) {
+  while (!Q.empty() && (Class == WorkClass::Short || this->longWithinLimit(ReplicaLane))) {
     std::optional<Ticket> T = Q.take(Fits, MaxKeysPerPass);
     if (!T)
       return;
--- a/src/pool/dispatch.h
+++ b/src/pool/dispatch.h
@@ -146,6 +146,9 @@
   void startPrimary(rules::WorkClass Class, std::vector<Action> &Out);
   void startReplica(rules::WorkClass Class, Instant Now, std::vector<Action> &Out);
   bool longIsOverdue(Instant Now) const;
+  void averageShortWork(Instant Now);
+  uint32_t inLane(rules::WorkClass Class, Lane L) const;
+  bool longWithinLimit(Lane L) const;
   void openConnections(Instant Now, std::vector<Action> &Out);
   bool wantsConnection(const TargetId &Id, const TargetSlots &T, Instant Now) const;
   uint32_t demand(const TargetId &Id) const;
@@ -164,6 +167,12 @@
   std::set<std::pair<Instant, TicketId>> Deadlines;
   std::set<TicketId> WaitedForReplica;
   std::array<absl::Duration, Classes> Service;
+  // Short requests that execute or wait in a lane: their average, its level (the average without
+  // its short dips), and their number since the average was taken.
+  std::array<double, Lanes> ShortAverage = {};
+  std::array<double, Lanes> ShortLevel = {};
+  std::array<uint32_t, Lanes> ShortNow = {};
+  Instant AveragedAt = absl::InfinitePast();
   Instant LastUse = absl::InfinitePast();        // of the database
   Instant LastReplicaUse = absl::InfinitePast(); // by a read that a replica may serve
 };
--- a/src/pool/dispatch_test.cpp
+++ b/src/pool/dispatch_test.cpp
@@ -125,6 +125,27 @@
   CHECK(ids(B.started()) == std::vector<uint64_t>{5});
 }
 
+// Guards against long work that takes the slots which the present short work needs.
+TEST_CASE("long work leaves slots to the short work of the last seconds") {
+  Bench B;
+  Instant Now = T0;
+  uint64_t Id = 0;
+  CHECK(!B.D.admit(ticket(++Id), T0));
+  CHECK(!B.D.admit(ticket(++Id), T0));
+  CHECK(B.started(Now).size() == 2);
+  Now += absl::Seconds(10);
+  CHECK(B.started(Now).empty());
+  B.end(P);
+  B.end(P);
+  for (int I = 0; I < 3; ++I) {
+    Ticket T = longTicket(++Id);
+    T.Deadline = Now + absl::Seconds(1000);
+    CHECK(!B.D.admit(T, Now));
+  }
+  CHECK(B.started(Now).size() == 1);
+  CHECK(B.started(Now + absl::Seconds(120)).size() == 1);
+}
+
 // Guards against requests that wait in vain, and against refusals without a hint.
 TEST_CASE("admission refuses what cannot start in time") {
   Bench B(100);
