--- a/src/daemon/app.cpp
+++ b/src/daemon/app.cpp
@@ -213,6 +213,10 @@
 // Decides which duty a message is for. Callable from any loop, except for control messages, which
 // only the link delivers.
 void App::Impl::route(const InstanceId &From, proto::Envelope Message) {
+  if (Message.to_incarnation() != 0 && Message.to_incarnation() != this->Options.Incarnation) {
+    this->Counters.add("link_stale_total");
+    return;
+  }
   switch (Message.body_case()) {
   case proto::Envelope::kExec:
   case proto::Envelope::kCredit:
@@ -320,7 +324,7 @@
 
 bool App::Impl::shutDown() {
   this->Ready = Readiness::Draining;
-  LogEvent(LogLevel::Info, "drain_started");
+  LogEvent(LogLevel::Info, "drain_started").kv("callers_accepted", true);
   this->LinkLoop.call([this] { this->Control->beginDrain(); });
   absl::SleepFor(this->Options.DrainNotice);
   Instant Deadline = monotonicNow() + this->Options.DrainTimeout;
--- a/src/pool/pool.cpp
+++ b/src/pool/pool.cpp
@@ -71,6 +71,30 @@
   return Out;
 }
 
+// Tells the watcher whether requests need the state of the database. Without it an instance that
+// has just lost the ownership would serve its last requests by a state that no longer changes.
+void PoolService::Impl::keep(DatabaseState &D, bool InUse) {
+  if (D.Kept == InUse)
+    return;
+  D.Kept = InUse;
+  this->Groups.keep(D.Group.Name, InUse);
+  if (const group::GroupState *S = this->Groups.state(D.Group.Name))
+    this->onGroup(*S);
+  else
+    D.Dispatch.setState(nullptr);
+}
+
+// Decides whether the state of a database is still needed here.
+bool PoolService::Impl::inUse(const DatabaseState &D) const {
+  auto Uses = [&](const auto &Item) { return Item.second->Database == &D; };
+  if (this->InLoop.now() - D.LastRequest < this->Options.IdleConnection ||
+      std::any_of(this->Requests.begin(), this->Requests.end(), Uses))
+    return true;
+  return std::any_of(this->Leases.begin(), this->Leases.end(), [&](const auto &Item) {
+    return Item.second.On->options().Database == D.Group.Name;
+  });
+}
+
 void PoolService::Impl::onView(member::ViewPtr New) {
   this->View = std::move(New);
   for (auto &[Name, D] : this->Databases) {
@@ -150,7 +174,7 @@
   if (Problem == Reason::None && (!Plan || BadKey))
     Problem = Reason::ProtocolViolation;
   if (Problem != Reason::None) {
-    this->refuse(From, Exec, Problem);
+    this->refuse(From, Incarnation, Exec, Problem);
     return;
   }
   Instant Now = this->InLoop.now();
@@ -164,6 +188,8 @@
   R.Deadline = Now + absl::Microseconds(Exec.budget_us());
   R.Database = this->database(DatabaseName(Exec.database()));
   R.Exec = std::move(Exec);
+  R.Database->LastRequest = Now;
+  this->keep(*R.Database, true);
   bool Recorded = R.Exec.once() && !R.Exec.request_key().empty() && R.Exec.lease() == 0 &&
                   R.Exec.kind() == proto::WRITE && executes(R.Plan);
   if (Recorded)
@@ -250,8 +276,10 @@
   D.set_tx_status(static_cast<uint32_t>(It->second.Status));
 }
 
-void PoolService::Impl::refuse(const InstanceId &To, const proto::ExecRequest &Exec, Reason Why) {
+void PoolService::Impl::refuse(const InstanceId &To, uint64_t Incarnation,
+                               const proto::ExecRequest &Exec, Reason Why) {
   proto::Envelope E = doneEnvelope(Exec.request_id(), Verdict::NotRun, Why);
+  E.set_to_incarnation(Incarnation);
   this->describeLease(Exec.lease(), To, *E.mutable_done());
   this->countRefusal(Why);
   LogEvent(LogLevel::Info, "pool_request_refused")
@@ -282,6 +310,7 @@
       .kv("target", R.Target.Value)
       .kv("detail", Detail);
   D.set_detail(std::move(Detail));
+  E.set_to_incarnation(R.Incarnation);
   InstanceId To = R.From;
   this->erase(R);
   this->Send(To, std::move(E));
@@ -403,6 +432,8 @@
   size_t Queued = 0;
   for (auto &[Name, D] : this->Databases) {
     Queued += D->Dispatch.queued();
+    if (D->Kept && !this->inUse(*D))
+      this->keep(*D, false);
     std::vector<Connection *> Unused;
     for (Connection *C : D->Idle)
       if (Now - C->IdleSince > this->Options.IdleConnection ||
--- a/src/pool/service.h
+++ b/src/pool/service.h
@@ -77,6 +77,8 @@
   std::optional<TargetId> Primary;
   std::vector<Connection *> Idle; // the most recently used last
   LogPosition Confirmed;          // highest position that a majority is known to have
+  Instant LastRequest = absl::InfinitePast();
+  bool Kept = false; // the watcher was told that the database is in use
   TimerId Wake;
   bool Pumping = false;
   bool PumpAgain = false;
@@ -90,6 +92,8 @@
   // pool.cpp: messages and admission
   void onView(member::ViewPtr New);
   void onEnvelope(const InstanceId &From, proto::Envelope Message);
+  void keep(DatabaseState &D, bool InUse);
+  bool inUse(const DatabaseState &D) const;
   void onExec(const InstanceId &From, uint64_t Incarnation, proto::ExecRequest Exec);
   Reason admissionProblem(const InstanceId &From, const proto::ExecRequest &Exec) const;
   void onCredit(const InstanceId &From, const proto::Credit &Message);
@@ -106,7 +110,8 @@
   Ticket ticketOf(const Request &R) const;
   void countRefusal(Reason Why);
   // Sends a refusal of a request that is not known yet.
-  void refuse(const InstanceId &To, const proto::ExecRequest &Exec, Reason Why);
+  void refuse(const InstanceId &To, uint64_t Incarnation, const proto::ExecRequest &Exec,
+              Reason Why);
   // Ends a request without the target's own answer.
   void fail(Request &R, Reason Why, Verdict Outcome, std::string Detail = "",
             absl::Duration RetryAfter = absl::ZeroDuration());
