Pool: requests of open transactions do not wait for a slot

Cause: three slots held by writes that wait at the target for a lock of an open transaction kept the COMMIT of that transaction in the queue until a deadline. Found by a trial with two proxies, nine callers (plain, keyed and explicit transactions) and servers stopped and killed in turn. Change: a pinned request starts at once. It still counts as executing, and the target queues what exceeds its slots. Ruled out: one slot kept for transactions: several lock holders may wait for each other's turn.

--- a/src/pool/connections.cpp
+++ b/src/pool/connections.cpp
@@ -237,7 +237,7 @@
       Row.set_executing(Load.Executing);
       bool IsPrimary = S && S->Primary == T.Id;
       // Requests that are not bound to a target are shown at the primary.
-      Row.set_queued(IsPrimary ? static_cast<uint32_t>(D->Dispatch.queued()) : Load.Queued);
+      Row.set_queued(IsPrimary ? static_cast<uint32_t>(D->Dispatch.queued()) : 0);
       const group::ServerState *Server = nullptr;
       for (size_t I = 0; S && I < S->Servers.size(); ++I)
         if (S->Servers[I].Id == T.Id)
--- a/src/pool/dispatch.cpp
+++ b/src/pool/dispatch.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cassert>
+#include <utility>
 
 namespace toucan::pool {
 
@@ -210,9 +211,7 @@
   auto It = this->Targets.find(At);
   if (It == this->Targets.end())
     return {};
-  return {.Connections = It->second.Total,
-          .Executing = this->executing(It->second),
-          .Queued = static_cast<uint32_t>(It->second.Pinned.size())};
+  return {.Connections = It->second.Total, .Executing = this->executing(It->second)};
 }
 
 Instant Dispatcher::wakeAt(Instant Now) const {
@@ -307,17 +306,12 @@
   Out.push_back({.Kind = ActionKind::Start, .Request = T.Id, .At = At, .ReplicaWasBehind = Behind});
 }
 
-// Requests of open transactions go first, since a transaction may hold locks.
+// Requests of open transactions do not wait for a slot: the slots may all be held by requests that
+// wait at the target for a lock of this transaction. The target queues what exceeds its slots.
 void Dispatcher::startPinned(std::vector<Action> &Out) {
   for (auto &[Id, S] : this->Targets)
-    for (auto It = S.Pinned.begin(); It != S.Pinned.end();) {
-      if (!this->slotFree(S, It->Class)) {
-        ++It;
-        continue;
-      }
-      this->start(*It, Id, Out);
-      It = S.Pinned.erase(It);
-    }
+    for (const Ticket &T : std::exchange(S.Pinned, {}))
+      this->start(T, Id, Out);
 }
 
 void Dispatcher::startPrimary(WorkClass Class, std::vector<Action> &Out) {
--- a/src/pool/dispatch.h
+++ b/src/pool/dispatch.h
@@ -48,7 +48,6 @@
 struct TargetLoad {
   uint32_t Connections = 0;
   uint32_t Executing = 0;
-  uint32_t Queued = 0; // waiting for the connection of their transaction
 };
 
 class Dispatcher {
--- a/src/pool/dispatch_test.cpp
+++ b/src/pool/dispatch_test.cpp
@@ -255,6 +255,18 @@
   CHECK(ids(B.started()) == std::vector<uint64_t>{3});
 }
 
+// Guards against a deadlock: all slots held by requests that wait for a lock of the transaction.
+TEST_CASE("a request of an open transaction does not wait for a slot") {
+  Bench B;
+  for (uint64_t Id : {1, 2, 3, 4})
+    CHECK(!B.D.admit(ticket(Id), T0));
+  CHECK(B.started().size() == 3);
+  Ticket InTransaction = ticket(5);
+  InTransaction.Pinned = P;
+  CHECK(!B.D.admit(InTransaction, T0));
+  CHECK(ids(B.started()) == std::vector<uint64_t>{5});
+}
+
 // Guards against a storm of connection attempts, more connections than the server allows, and a
 // loop that spins while a target cannot be reached.
 TEST_CASE("connections are opened one at a time, within the limit, with a pause after a failure") {
