Group: tests of the monitor under faults, second observer over sockets

Cause: the monitor around the checked rules had two tests only.

Fixes found on the way: an owner that loses most servers at once no longer fences the minority it still reaches; a group_wait that returns early is not repeated in a tight loop; a callback that changes the servers or ends the watch no longer leaves calls to servers that are gone.

Ruled out: counting a server as reachable until it is suspect when a change starts (the cause of the needless fence).

--- a/src/group/channel.cpp
+++ b/src/group/channel.cpp
@@ -84,14 +84,12 @@
   this->close();
   this->Connection = PQconnectStartParams(Keys.data(), Values.data(), 0);
   if (!this->Connection || PQstatus(this->Connection) == CONNECTION_BAD) {
-    // Left to the next round: the callback must not run inside start().
-    this->InLoop.cancel(*this->Timer);
-    this->Timer = this->InLoop.at(this->InLoop.now(), [this] {
-      this->Timer.reset();
-      this->fail(CallFailure::Lost);
-    });
+    this->failLater();
     return;
   }
+  // Notices would go to standard error.
+  PQsetNoticeReceiver(
+      this->Connection, [](void *, const PGresult *) {}, nullptr);
   this->watchSocket(EPOLLOUT);
 }
 
@@ -130,11 +128,23 @@
   }
 }
 
-// A failed send shows as the end of the connection when it is read.
 void Channel::send() {
-  PQsendQuery(this->Connection, this->Statement.c_str());
-  bool Unsent = PQflush(this->Connection) == 1;
-  this->InLoop.rewatch(this->WatchedFd, EPOLLIN | (Unsent ? EPOLLOUT : 0U));
+  int Unsent = -1;
+  if (PQsendQuery(this->Connection, this->Statement.c_str()) == 1)
+    Unsent = PQflush(this->Connection);
+  if (Unsent < 0)
+    this->failLater();
+  else
+    this->InLoop.rewatch(this->WatchedFd, EPOLLIN | (Unsent > 0 ? EPOLLOUT : 0U));
+}
+
+// Left to the next round: the callback must not run inside start().
+void Channel::failLater() {
+  this->InLoop.cancel(*this->Timer);
+  this->Timer = this->InLoop.at(this->InLoop.now(), [this] {
+    this->Timer.reset();
+    this->fail(CallFailure::Lost);
+  });
 }
 
 void Channel::receive() {
@@ -163,8 +173,9 @@
   if (PQconsumeInput(this->Connection) == 1 && PQstatus(this->Connection) == CONNECTION_OK)
     return;
   this->close();
-  if (this->OnLost)
-    this->OnLost();
+  // The handler may destroy this channel and its own object with it.
+  if (std::function<void()> Lost = this->OnLost)
+    Lost();
 }
 
 void Channel::finish(const Answer &Got) {
--- a/src/group/channel.h
+++ b/src/group/channel.h
@@ -47,6 +47,7 @@
   void onIdleReadable();
   void finish(const Answer &Got);
   void fail(CallFailure Failure);
+  void failLater();
   void close();
   void watchSocket(uint32_t Events);
   void unwatchSocket();
--- a/src/group/monitor.cpp
+++ b/src/group/monitor.cpp
@@ -66,12 +66,11 @@
 
 Actions Monitor::onAnswer(const TargetId &Id, Lane On, uint64_t CallId, const Answer &Got,
                           Instant Now) {
-  Server *S = this->find(Id);
-  if (!S || S->lane(On).Id != CallId)
+  if (!this->awaits(Id, On, CallId))
     return this->advance(Now);
-  Outstanding Asked = S->lane(On);
-  S->lane(On).Id = 0;
-  size_t Index = S - this->Servers.data();
+  size_t Index = this->find(Id) - this->Servers.data();
+  Outstanding Asked = this->Servers[Index].lane(On);
+  this->Servers[Index].lane(On).Id = 0;
   if (Got.Row)
     this->onRow(Index, On, Asked, *Got.Row, Now);
   else
@@ -80,8 +79,10 @@
 }
 
 Actions Monitor::onConnectionLost(const TargetId &Id, Instant Now) {
-  if (Server *S = this->find(Id))
-    S->lane(Lane::Probe).NextAt = std::min(S->lane(Lane::Probe).NextAt, Now);
+  if (const Server *S = this->find(Id)) {
+    Outstanding &L = this->Servers[S - this->Servers.data()].lane(Lane::Probe);
+    L.NextAt = std::min(L.NextAt, Now);
+  }
   return this->advance(Now);
 }
 
@@ -97,7 +98,12 @@
 
 Actions Monitor::onTimer(Instant Now) { return this->advance(Now); }
 
-Monitor::Server *Monitor::find(const TargetId &Id) {
+bool Monitor::awaits(const TargetId &Id, Lane On, uint64_t CallId) const {
+  const Server *S = this->find(Id);
+  return S && S->lane(On).Id == CallId;
+}
+
+const Monitor::Server *Monitor::find(const TargetId &Id) const {
   auto It = std::find_if(this->Servers.begin(), this->Servers.end(),
                          [&](const Server &S) { return S.Def.Id == Id; });
   return It == this->Servers.end() ? nullptr : &*It;
@@ -107,9 +113,12 @@
   return S.Refused || S.Misses >= this->Options.ProbesToSuspect;
 }
 
+// A server whose last probe failed does not count, even before it is suspect: a daemon that is cut
+// off would otherwise fence the minority that it still reaches.
 bool Monitor::reachableMajority() const {
-  size_t Count = std::count_if(this->Servers.begin(), this->Servers.end(),
-                               [this](const Server &S) { return this->reachable(S); });
+  size_t Count = std::count_if(this->Servers.begin(), this->Servers.end(), [](const Server &S) {
+    return S.Row && S.Misses == 0 && !S.Refused;
+  });
   return Count >= majorityOf(this->Servers.size());
 }
 
@@ -191,6 +200,9 @@
     this->Reads.onRow(Index, Asked.Probe, Row);
     S.lane(On).NextAt = Asked.AskedAt + this->Options.ProbeInterval;
   }
+  // A server that answers before the position is reached must not be asked in a tight loop.
+  if (On == Lane::Wait && !Row.CallAccepted)
+    S.lane(On).NextAt = Now + RetryDelay;
   // A probe that was begun before the last control call ended may describe the time before it.
   if (On == Lane::Control || Asked.AskedAt >= S.ControlAt) {
     S.Row = Row;
--- a/src/group/monitor.h
+++ b/src/group/monitor.h
@@ -104,6 +104,8 @@
   Actions onTimer(Instant Now);
 
   Instant nextTimer() const;
+  // False when the answer to a call would be ignored: the call need not be made.
+  bool awaits(const TargetId &Server, Lane On, uint64_t Id) const;
   const GroupState &state() const { return this->Published; }
   const MonitorConfig &config() const { return this->Config; }
 
@@ -153,7 +155,7 @@
     Instant Started;
   };
 
-  Server *find(const TargetId &Id);
+  const Server *find(const TargetId &Id) const;
   bool suspect(const Server &S) const;
   bool reachable(const Server &S) const { return S.Row && !this->suspect(S); }
   bool reachableMajority() const;
--- a/src/group/monitor_test.cpp
+++ b/src/group/monitor_test.cpp
@@ -1,168 +1,17 @@
-#include "group/monitor.h"
-#include "group/test_server.h"
+#include "group/test_simulation.h"
 
 #include <doctest/doctest.h>
 
-#include <functional>
-#include <map>
-#include <memory>
-#include <set>
-
 using namespace toucan;
 using namespace toucan::group;
 
 namespace {
 
-constexpr absl::Duration Latency = absl::Milliseconds(1);
-
-TargetId idOf(size_t I) { return TargetId("s" + std::to_string(I)); }
-
-// Servers and monitors on one simulated clock.
-struct Simulation {
-  struct Daemon {
-    Monitor Machine;
-    std::set<size_t> Cut; // servers that it cannot reach
-    std::vector<StepAction> Steps;
-    std::map<uint64_t, ConfirmResult> Confirmed;
-    std::map<uint64_t, std::optional<LogPosition>> Verified;
-    std::vector<CallAction> Calls;
-  };
-
-  Instant Now = absl::UnixEpoch() + absl::Seconds(1000);
-  std::vector<TestServer> Servers;
-  std::set<size_t> Refusing; // stopped: connections are refused
-  std::set<size_t> Frozen;   // no answer
-  std::set<size_t> Held;     // replication to this server stands still
-  std::vector<std::unique_ptr<Daemon>> Daemons;
-  std::multimap<Instant, std::function<void()>> Queue;
-  // How peers answer; empty: silent.
-  std::function<std::optional<std::pair<bool, Term>>(const AskPeerAction &)> Peer;
-
-  explicit Simulation(size_t Count) : Servers(Count) {}
-
-  MonitorConfig config(bool Owner, std::vector<InstanceId> Peers = {}) const {
-    MonitorConfig C;
-    C.Database = DatabaseName("orders");
-    for (size_t I = 0; I < this->Servers.size(); ++I)
-      C.Servers.push_back({.Id = idOf(I), .Host = "10.0.0." + std::to_string(I), .Port = 5432});
-    C.Owner = Owner;
-    C.Peers = std::move(Peers);
-    return C;
-  }
-
-  Daemon &add(const MonitorConfig &C) {
-    std::string Name = "d" + std::to_string(this->Daemons.size());
-    this->Daemons.push_back(std::make_unique<Daemon>(
-        Daemon{.Machine = Monitor({.Proposer = Name, .Seed = this->Daemons.size() + 1})}));
-    Daemon &D = *this->Daemons.back();
-    this->perform(D, D.Machine.configure(C, this->Now));
-    return D;
-  }
-
-  void perform(Daemon &D, const Actions &Todo) {
-    for (const Action &A : Todo) {
-      if (const auto *C = std::get_if<CallAction>(&A))
-        this->call(D, *C);
-      else if (const auto *P = std::get_if<AskPeerAction>(&A))
-        this->askPeer(D, *P);
-      else if (const auto *S = std::get_if<StepAction>(&A))
-        D.Steps.push_back(*S);
-      else if (const auto *E = std::get_if<ConfirmedAction>(&A))
-        D.Confirmed[E->Ticket] = E->Result;
-      else if (const auto *V = std::get_if<VerifiedAction>(&A))
-        D.Verified[V->Ticket] = V->At;
-    }
-  }
-
-  void answer(Daemon &D, const CallAction &C, Instant At, const Answer &Got) {
-    this->Queue.emplace(At, [this, &D, C, Got] {
-      this->perform(D, D.Machine.onAnswer(C.Server, C.On, C.Id, Got, this->Now));
-    });
-  }
-
-  void call(Daemon &D, const CallAction &C) {
-    D.Calls.push_back(C);
-    size_t I = std::stoul(C.Server.Value.substr(1));
-    if (this->Refusing.contains(I) && !D.Cut.contains(I)) {
-      this->answer(D, C, this->Now + Latency, {.Row = {}, .Failure = CallFailure::Refused});
-      return;
-    }
-    Instant TimesOut = this->Now + C.What.Timeout;
-    this->Queue.emplace(this->Now + Latency, [this, &D, C, I, TimesOut] {
-      if (this->Frozen.contains(I) || D.Cut.contains(I))
-        this->answer(D, C, TimesOut, {.Row = {}, .Failure = CallFailure::Timeout});
-      else if (this->Refusing.contains(I))
-        this->answer(D, C, this->Now, {.Row = {}, .Failure = CallFailure::Lost});
-      else if (C.What.Kind == CallKind::Wait)
-        this->wait(D, C, I, this->Now + C.What.WaitLimit);
-      else
-        this->answer(D, C, this->Now + Latency, {.Row = this->Servers[I].serve(C.What)});
-    });
-  }
-
-  void wait(Daemon &D, const CallAction &C, size_t I, Instant Until) {
-    Status Row = this->Servers[I].serve(C.What);
-    if (Row.CallAccepted || Row.Accepted > C.What.InTerm || this->Now >= Until)
-      this->answer(D, C, this->Now + Latency, {.Row = Row});
-    else
-      this->Queue.emplace(this->Now + Latency,
-                          [this, &D, C, I, Until] { this->wait(D, C, I, Until); });
-  }
-
-  void askPeer(Daemon &D, const AskPeerAction &P) {
-    if (!this->Peer)
-      return;
-    if (auto Got = this->Peer(P))
-      this->Queue.emplace(this->Now + Latency, [this, &D, P, Got] {
-        this->perform(D, D.Machine.onPeerProbe(P.ProbeId, Got->first, Got->second, this->Now));
-      });
-  }
-
-  void replicate() {
-    for (size_t I = 0; I < this->Servers.size(); ++I) {
-      TestServer &S = this->Servers[I];
-      if (S.Is != Role::Replica || this->Held.contains(I) || this->Frozen.contains(I) ||
-          this->Refusing.contains(I))
-        continue;
-      size_t P = std::stoul(S.Following.substr(7));
-      if (this->Servers[P].Is != Role::Primary || this->Servers[P].Accepted != S.Accepted ||
-          this->Frozen.contains(P) || this->Refusing.contains(P))
-        continue;
-      while (S.receive(this->Servers[P].Log)) {
-      }
-      S.Applied = S.Matched;
-    }
-  }
-
-  // Runs in steps of a millisecond.
-  void run(absl::Duration For) {
-    Instant Until = this->Now + For;
-    while (this->Now < Until) {
-      this->Now += absl::Milliseconds(1);
-      while (!this->Queue.empty() && this->Queue.begin()->first <= this->Now) {
-        auto Fn = std::move(this->Queue.begin()->second);
-        this->Queue.erase(this->Queue.begin());
-        Fn();
-      }
-      for (auto &D : this->Daemons)
-        if (D->Machine.nextTimer() <= this->Now)
-          this->perform(*D, D->Machine.onTimer(this->Now));
-      this->replicate();
-    }
-  }
-
-  // Appends a write at the primary and returns its position.
-  LogPosition write(size_t I, int Id) {
-    TestServer &S = this->Servers[I];
-    S.append(Id);
-    S.Applied = S.Log.size();
-    return {.InTerm = Term(S.Accepted), .Position = S.Log.size()};
-  }
-};
+constexpr size_t NoServer = 99;
 
 size_t primaryOf(const Simulation::Daemon &D) {
   const std::optional<TargetId> &P = D.Machine.state().Primary;
-  return P ? std::stoul(P->Value.substr(1)) : 99;
+  return P ? std::stoul(P->Value.substr(1)) : NoServer;
 }
 
 size_t count(const Simulation::Daemon &D, Step S) {
@@ -170,6 +19,13 @@
                        [S](const StepAction &A) { return A.What == S; });
 }
 
+const ServerState &serverOf(const Simulation::Daemon &D, size_t I) {
+  return D.Machine.state().Servers[I];
+}
+
+const InstanceId Peer1("p1");
+const InstanceId Peer2("p2");
+
 } // namespace
 
 // Guards against a new group that never gets a primary, or gets more than one.
@@ -199,3 +55,280 @@
   CHECK(D.Steps.back().What == Step::Finished);
   CHECK(D.Steps.back().Cause == "refused");
 }
+
+// Guards against a primary that keeps its connections open and does not answer.
+TEST_CASE("a frozen primary is suspected after three probes and replaced") {
+  Simulation S(3);
+  Simulation::Daemon &D = S.add(S.config(true));
+  S.run(absl::Seconds(1));
+  S.Frozen.insert(0);
+  S.run(absl::Milliseconds(800));
+  CHECK(count(D, Step::Suspected) == 0);
+  CHECK(primaryOf(D) == 0);
+  S.run(absl::Milliseconds(600));
+  CHECK(primaryOf(D) == 1);
+  CHECK(D.Steps.back().Cause == "unreachable");
+}
+
+// Guards against a change of primary because of a broken path between one daemon and the primary.
+TEST_CASE("the primary stays while a second observer reaches it in its term") {
+  Simulation S(3);
+  Simulation::Daemon &D = S.add(S.config(true, {Peer1, Peer2}));
+  size_t Asked = 0;
+  S.Peer = [&](const AskPeerAction &) {
+    ++Asked;
+    return std::make_pair(true, Term(1));
+  };
+  S.run(absl::Seconds(1));
+  D.Cut.insert(0);
+  S.run(absl::Seconds(6));
+  CHECK(count(D, Step::Started) == 1); // of the first term
+  CHECK(count(D, Step::Kept) >= 2);
+  CHECK(Asked <= 14); // two observers at most once a second
+  CHECK(primaryOf(D) == 0);
+  CHECK_FALSE(serverOf(D, 0).Reachable);
+  D.Cut.clear();
+  S.run(absl::Seconds(1));
+  CHECK(serverOf(D, 0).Reachable);
+  CHECK(S.Servers[0].Accepted == 1);
+}
+
+// Guards against a failover that waits for an observer for good, or takes an answer of another
+// term as proof that the primary serves.
+TEST_CASE("an observer that is silent, negative or in another term does not stop the change") {
+  using Reach = std::optional<std::pair<bool, Term>>;
+  for (const Reach &Answer :
+       {Reach(), Reach(std::make_pair(false, Term())), Reach(std::make_pair(true, Term(7)))}) {
+    Simulation S(3);
+    Simulation::Daemon &D = S.add(S.config(true, {Peer1}));
+    S.run(absl::Seconds(1));
+    S.Peer = [&](const AskPeerAction &) { return Answer; };
+    S.Refusing.insert(0);
+    S.run(absl::Seconds(1));
+    CHECK(primaryOf(D) == 1);
+  }
+}
+
+// Guards against an old primary that stays primary or fenced, or keeps unacknowledged writes.
+TEST_CASE("an old primary that returns follows and loses its unacknowledged suffix") {
+  Simulation S(3);
+  Simulation::Daemon &D = S.add(S.config(true));
+  S.run(absl::Seconds(1));
+  S.Held = {1, 2};
+  S.write(0, 1);
+  S.Frozen.insert(0);
+  S.run(absl::Seconds(2));
+  S.Held.clear();
+  CHECK(primaryOf(D) == 1);
+  CHECK(S.Servers[0].Is == Role::Primary); // it has not heard of the new term
+  S.write(1, 2);
+  S.Frozen.clear();
+  S.run(absl::Seconds(2));
+  CHECK(primaryOf(D) == 1);
+  CHECK(S.Servers[0].Is == Role::Replica);
+  CHECK(S.Servers[0].Matched == S.Servers[1].Log.size());
+  CHECK(S.Servers[0].Log[1].InTerm == 2);
+}
+
+TEST_CASE("a server that follows another one is told to follow the primary") {
+  Simulation S(3);
+  S.add(S.config(true));
+  S.run(absl::Seconds(1));
+  S.Servers[2].follow(1, "10.0.0.1:5432");
+  S.run(absl::Seconds(1));
+  CHECK(S.Servers[2].Following == "10.0.0.0:5432");
+}
+
+// Guards against promotion without a majority: the owner sees one server of three only.
+TEST_CASE("no change of primary without a majority") {
+  Simulation S(3);
+  Simulation::Daemon &D = S.add(S.config(true));
+  S.run(absl::Seconds(1));
+  D.Cut = {0, 1};
+  S.run(absl::Seconds(5));
+  CHECK(count(D, Step::Started) == 1);
+  CHECK(S.Servers[2].Accepted == 1);
+}
+
+// Guards against two owners that overtake each other's terms for ever.
+TEST_CASE("two owners settle on one primary") {
+  for (uint64_t Round = 0; Round < 20; ++Round) {
+    Simulation S(3);
+    S.Now += absl::Milliseconds(Round);
+    Simulation::Daemon &A = S.add(S.config(true));
+    S.run(absl::Milliseconds(Round % 4));
+    Simulation::Daemon &B = S.add(S.config(true));
+    S.run(absl::Seconds(2));
+    REQUIRE(primaryOf(A) != NoServer);
+    CHECK(primaryOf(A) == primaryOf(B));
+    size_t Old = primaryOf(A);
+    S.Refusing.insert(Old);
+    S.run(absl::Seconds(3));
+    REQUIRE(primaryOf(A) != NoServer);
+    CHECK(primaryOf(A) != Old);
+    CHECK(primaryOf(A) == primaryOf(B));
+    CHECK(A.Machine.state().Current == B.Machine.state().Current);
+  }
+}
+
+// Guards against a daemon that insists on a primary it promoted after another one was promoted.
+TEST_CASE("a proposer that learns of a higher term follows what the servers say") {
+  Simulation S(3);
+  Simulation::Daemon &D = S.add(S.config(true));
+  S.run(absl::Seconds(1));
+  for (size_t I : {1, 2})
+    S.Servers[I].accept(9, "other");
+  S.Servers[2].promote(9, "other");
+  S.Servers[1].follow(9, "10.0.0.2:5432");
+  S.run(absl::Seconds(1));
+  CHECK(primaryOf(D) == 2);
+  CHECK(D.Machine.state().Current == Term(9));
+  CHECK(S.Servers[0].Following == "10.0.0.2:5432");
+  CHECK(count(D, Step::Started) == 1);
+}
+
+// Guards against a server that stays fenced for good after a proposer died in its first call.
+TEST_CASE("a minority in a later term is taken in by a new term") {
+  Simulation S(3);
+  Simulation::Daemon &D = S.add(S.config(true));
+  S.run(absl::Seconds(1));
+  S.Servers[2].accept(5, "other");
+  S.run(absl::Seconds(1));
+  CHECK(primaryOf(D) == 0); // the other proposer may still go on
+  S.run(absl::Seconds(3));
+  CHECK(D.Machine.state().Current == Term(6));
+  CHECK(S.Servers[2].Is == Role::Replica);
+}
+
+// Guards against a leaving primary that stays, and against a change before others have caught up.
+TEST_CASE("a leaving primary is replaced once the others have caught up") {
+  Simulation S(3);
+  Simulation::Daemon &D = S.add(S.config(true));
+  S.run(absl::Seconds(1));
+  S.Held = {1, 2};
+  S.write(0, 1);
+  S.run(absl::Seconds(2));
+  MonitorConfig C = S.config(true);
+  C.Servers[0].Leaving = true;
+  S.perform(D, D.Machine.configure(C, S.Now));
+  S.run(absl::Seconds(2));
+  CHECK(primaryOf(D) == 0);
+  S.Held.clear();
+  S.run(absl::Seconds(2));
+  CHECK(primaryOf(D) == 1);
+  CHECK(D.Steps.back().Cause == "leaving");
+  CHECK(S.Servers[1].Log.size() == 3); // term start, write, term start
+  CHECK(S.Servers[0].Is == Role::Replica);
+  S.run(absl::Seconds(5));
+  CHECK(D.Machine.state().Current == Term(2));
+}
+
+// Guards against a watcher that changes anything: only the owner may.
+TEST_CASE("a daemon that does not own the database only reads") {
+  Simulation S(3);
+  Simulation::Daemon &D = S.add(S.config(false));
+  S.run(absl::Seconds(2));
+  S.Servers[0].accept(1, "x");
+  S.Servers[0].promote(1, "x");
+  S.run(absl::Seconds(1));
+  CHECK(primaryOf(D) == 0);
+  S.Refusing.insert(0);
+  S.run(absl::Seconds(2));
+  for (const CallAction &C : D.Calls)
+    CHECK(C.What.Kind == CallKind::Status);
+}
+
+// Guards against more than one waiting call for each replica, and against a confirmation that
+// comes before a replica has the write.
+TEST_CASE("writes are confirmed by one waiting call for each replica") {
+  Simulation S(3);
+  Simulation::Daemon &D = S.add(S.config(true));
+  S.run(absl::Seconds(1));
+  S.Held = {1, 2};
+  Instant Deadline = S.Now + absl::Seconds(3);
+  for (uint64_t I = 1; I <= 10; ++I)
+    S.perform(D, D.Machine.confirm(I, S.write(0, static_cast<int>(I)), Deadline, S.Now));
+  S.run(absl::Milliseconds(100));
+  CHECK(D.Confirmed.empty());
+  size_t Waits = std::count_if(D.Calls.begin(), D.Calls.end(),
+                               [](const CallAction &C) { return C.What.Kind == CallKind::Wait; });
+  CHECK(Waits == 2);
+  S.Held = {2};
+  S.run(absl::Milliseconds(20));
+  CHECK(D.Confirmed.size() == 10);
+  CHECK(D.Confirmed[10] == ConfirmResult::Confirmed);
+}
+
+// Guards against a write that is reported as confirmed after its primary was replaced.
+TEST_CASE("a write that no replica has ends with the term") {
+  Simulation S(3);
+  Simulation::Daemon &D = S.add(S.config(true));
+  S.run(absl::Seconds(1));
+  S.Held = {1, 2};
+  S.perform(D, D.Machine.confirm(1, S.write(0, 1), S.Now + absl::Seconds(9), S.Now));
+  S.Refusing.insert(0);
+  S.run(absl::Seconds(2));
+  REQUIRE(D.Confirmed.contains(1));
+  CHECK(D.Confirmed[1] == ConfirmResult::TermChanged);
+}
+
+// Guards against a verified read that waits for the next regular probe, and against one that a
+// primary without a majority answers.
+TEST_CASE("verify returns the primary's position within a round trip") {
+  Simulation S(3);
+  Simulation::Daemon &D = S.add(S.config(true));
+  S.run(absl::Milliseconds(1050));
+  LogPosition At = S.write(0, 1);
+  S.perform(D, D.Machine.verify(1, S.Now + absl::Seconds(1), S.Now));
+  S.run(absl::Milliseconds(10));
+  REQUIRE(D.Verified.contains(1));
+  CHECK((D.Verified[1] == At));
+  D.Cut = {1, 2};
+  S.perform(D, D.Machine.verify(2, S.Now + absl::Seconds(1), S.Now));
+  S.run(absl::Seconds(2));
+  REQUIRE(D.Verified.contains(2));
+  CHECK_FALSE(D.Verified[2].has_value());
+}
+
+// Guards against an age that is too low: for a replica that lags, and for a whole side of a
+// partition that no longer knows whether there is a newer primary.
+TEST_CASE("the age of a replica grows while it lags or no majority is in the term") {
+  Simulation S(3);
+  Simulation::Daemon &D = S.add(S.config(true));
+  S.run(absl::Seconds(1));
+  CHECK(S.Now - serverOf(D, 1).CurrentAt < absl::Milliseconds(700));
+  Instant Lagging = S.Now;
+  S.Held = {1};
+  S.write(0, 1);
+  S.run(absl::Seconds(2));
+  CHECK(serverOf(D, 1).CurrentAt <= Lagging);
+  CHECK(S.Now - serverOf(D, 2).CurrentAt < absl::Milliseconds(700));
+  S.Held.clear();
+  S.run(absl::Seconds(1));
+  CHECK(S.Now - serverOf(D, 1).CurrentAt < absl::Milliseconds(700));
+  Instant Alone = S.Now;
+  D.Cut = {1, 2};
+  S.run(absl::Seconds(3));
+  CHECK(serverOf(D, 0).CurrentAt <= Alone);
+}
+
+// Guards against a configuration change that loses waiting requests or a known primary.
+TEST_CASE("another set of servers keeps the primary and the waiting writes") {
+  Simulation S(4);
+  MonitorConfig C = S.config(true);
+  C.Servers.pop_back();
+  Simulation::Daemon &D = S.add(C);
+  S.run(absl::Seconds(1));
+  S.Held = {1, 2, 3};
+  S.perform(D, D.Machine.confirm(1, S.write(0, 1), S.Now + absl::Seconds(9), S.Now));
+  S.perform(D, D.Machine.configure(S.config(true), S.Now));
+  S.run(absl::Seconds(1));
+  CHECK(primaryOf(D) == 0);
+  CHECK(S.Servers[3].Is == Role::Replica);
+  S.Held = {2, 3};
+  S.run(absl::Seconds(1));
+  CHECK(D.Confirmed.empty()); // two of four
+  S.Held = {3};
+  S.run(absl::Seconds(1));
+  CHECK(D.Confirmed[1] == ConfirmResult::Confirmed);
+}
--- a/src/group/service.cpp
+++ b/src/group/service.cpp
@@ -242,7 +242,10 @@
   return *C;
 }
 
+// A callback of an earlier action may have changed the servers; such calls are dropped.
 void GroupService::Impl::perform(const WatchedPtr &W, CallAction &A) {
+  if (!W->Machine.awaits(A.Server, A.On, A.Id))
+    return;
   this->channelTo(W, A.Server, A.On)
       .start(A.What, [this, Database = W->Machine.config().Database, Server = A.Server, On = A.On,
                       Id = A.Id](const Answer &Got) {
@@ -255,6 +258,8 @@
   const MonitorConfig &Config = W->Machine.config();
   auto It = std::find_if(Config.Servers.begin(), Config.Servers.end(),
                          [&](const MonitoredServer &S) { return S.Id == A.Target; });
+  if (It == Config.Servers.end())
+    return;
   Instant Now = this->InLoop.now();
   std::erase_if(this->Questions, [&](const auto &Q) { return Q.second.Deadline < Now; });
   uint64_t Id = this->NextQuestion++;
--- a/src/group/service_test.cpp
+++ b/src/group/service_test.cpp
@@ -56,7 +56,8 @@
   }
 
   TestServer Server;
-  bool Silent = false; // reads and never answers
+  bool Silent = false;  // reads and never answers
+  std::string SilentTo; // the same, to connections of this user
   uint16_t Port = 0;
   int Accepted = 0; // connections so far
 
@@ -64,6 +65,7 @@
   struct Caller {
     wire::FrameReader Reader{100'000};
     bool Started = false;
+    std::string User;
   };
 
   void acceptCaller() {
@@ -88,13 +90,14 @@
       this->drop(Fd);
       return;
     }
-    if (this->Silent)
-      return;
     Caller &C = this->Callers[Fd];
+    if (this->Silent || (C.Started && C.User == this->SilentTo))
+      return;
     C.Reader.append({Bytes.data(), static_cast<size_t>(Got)});
     wire::StartupPacket Packet;
     while (!C.Started && C.Reader.nextStartup(Packet) == wire::ReadStatus::Ready) {
       C.Started = Packet.Code == wire::ProtocolVersion3;
+      C.User = Packet.Parameters["user"];
       this->send(Fd, C.Started ? wire::authenticationOk() + wire::readyForQuery('I') : "N");
     }
     wire::Frame F;
@@ -190,7 +193,8 @@
       V->Members.push_back({.Id = this->Ids[I]});
       this->Daemons[I] = std::make_unique<GroupService>(
           this->L,
-          GroupOptions{.Self = this->Ids[I], .Incarnation = 7, .TargetUser = "toucan", .Seed = I},
+          GroupOptions{
+              .Self = this->Ids[I], .Incarnation = 7, .TargetUser = this->Ids[I].Value, .Seed = I},
           [this, I](const InstanceId &To, const proto::Envelope &Message) {
             size_t Other = To == this->Ids[0] ? 0 : 1;
             this->L.post([this, I, Other, Message] {
@@ -309,3 +313,36 @@
   CHECK(F.L.now() - Since < absl::Milliseconds(2500));
   CHECK(F.Counters[F.Owner].value("primary_suspected_total") == 1);
 }
+
+// Guards against a change of primary because of the owner's own broken path: the probe envelopes
+// must reach the other daemon and its answer must come back.
+TEST_CASE("a group on sockets: the primary stays while the other daemon reaches it") {
+  Fixture F;
+  auto Break = [&] { F.primary()->SilentTo = F.Ids[F.Owner].Value; };
+  Metrics &Counters = F.Counters[F.Owner];
+  CHECK(F.run({{[&] { return F.settled(1); }, Break},
+               {[&] { return Counters.value("primary_kept_total") >= 2; }, [] {}}}) == 2);
+  CHECK(Counters.value("primary_change_started_total") == 1); // of the first term
+  CHECK(F.settled(1));
+}
+
+// Guards against a watch that is not begun or not ended for a database of another owner, and
+// against callbacks that are lost with it.
+TEST_CASE("a group on sockets: a database of another owner is watched while kept") {
+  Fixture F;
+  GroupService &Other = *F.Daemons[1 - F.Owner];
+  std::optional<ConfirmResult> Ended;
+  auto Known = [&] {
+    const GroupState *S = Other.state(F.Database);
+    return S && S->Primary;
+  };
+  auto EndWatch = [&] {
+    LogPosition Far{.InTerm = Term(1), .Position = 1000};
+    Other.confirm(F.Database, Far, absl::InfiniteFuture(), [&](ConfirmResult R) { Ended = R; });
+    Other.keep(F.Database, false);
+  };
+  CHECK(F.run({{[&] { return F.settled(1); }, [&] { Other.keep(F.Database, true); }},
+               {Known, EndWatch}}) == 2);
+  CHECK(Ended == ConfirmResult::Deadline);
+  CHECK(Other.state(F.Database) == nullptr);
+}
--- a/src/group/test_model.h
+++ b/src/group/test_model.h
@@ -67,11 +67,11 @@
   std::array<uint8_t, ProposerCount> Chosen{}; // promote call on its way to server N - 1
   uint8_t Primary = 0;                         // server N - 1 was promoted
   size_t StartLength = 0;                      // of its log, with the term-start entry
-  TestLog Log;                                 // of the primary, also after its term has ended
+  SmallLog Log;                                // of the primary, also after its term has ended
 };
 
 struct Model {
-  std::array<TestServer, ServerCount> Servers;
+  std::array<ModelServer, ServerCount> Servers;
   std::array<ProposerState, ProposerCount> Proposers;
   std::array<TermState, TermLimit> Terms;
   std::vector<Reply> Replies;
@@ -164,7 +164,7 @@
   void deliverAccept(const Model &M, uint8_t P, uint8_t T, uint8_t S) {
     if (!M.Terms[T].Asked[P] || M.Servers[S].Accepted > T)
       return;
-    TestServer Server = M.Servers[S];
+    ModelServer Server = M.Servers[S];
     Status Row = Server.accept(T, ProposerNames[P]);
     if (!Row.CallAccepted)
       return;
@@ -207,7 +207,7 @@
       return;
     Model Next = M;
     Next.Terms[T].Chosen[P] = 0;
-    TestServer &S = Next.Servers[Chosen - 1];
+    ModelServer &S = Next.Servers[Chosen - 1];
     if (S.promote(T, ProposerNames[P]).CallAccepted) {
       if (Next.Terms[T].Primary != 0) {
         this->Violation = absl::StrFormat("two primaries of term %d", T);
@@ -231,11 +231,11 @@
   }
 
   void receive(const Model &M, uint8_t S) {
-    const TestServer &Replica = M.Servers[S];
+    const ModelServer &Replica = M.Servers[S];
     if (Replica.Is != Role::Replica)
       return;
     const TermState &T = M.Terms[Replica.Accepted];
-    const TestServer &Primary = M.Servers[T.Primary - 1];
+    const ModelServer &Primary = M.Servers[T.Primary - 1];
     bool Serving = Primary.Is == Role::Primary && Primary.Accepted == Replica.Accepted;
     if (Replica.Matched == T.Log.size() || (!Serving && !this->Options.LateShipping))
       return;
@@ -245,11 +245,11 @@
   }
 
   void write(const Model &M, uint8_t S) {
-    const TestServer &Primary = M.Servers[S];
+    const ModelServer &Primary = M.Servers[S];
     if (Primary.Is != Role::Primary || M.Writes.size() >= this->Options.MaxWrites)
       return;
     Model Next = M;
-    TestLog &Log = Next.Servers[S].Log;
+    SmallLog &Log = Next.Servers[S].Log;
     Next.Servers[S].append(static_cast<int>(M.Writes.size()));
     Next.Terms[Primary.Accepted].Log = Log;
     Next.Writes.push_back({.At = {.InTerm = Term(Primary.Accepted), .Position = Log.size()},
@@ -309,7 +309,7 @@
 
   // The read must cover the writes acknowledged before it began, at the primary that it names.
   void checkRead(const Model &M, LogPosition At) {
-    const TestLog &Log = M.Terms[At.InTerm.Value].Log;
+    const SmallLog &Log = M.Terms[At.InTerm.Value].Log;
     for (uint8_t I = 0; I < M.VerifyAfter; ++I) {
       const Write &W = M.Writes[I];
       if (At < W.At || Log.size() < W.At.Position || Log[W.At.Position - 1] != entryOf(M, I))
@@ -324,7 +324,7 @@
 
   static bool majorityLeft(const Model &M, Term T) {
     size_t Left = 0;
-    for (const TestServer &S : M.Servers)
+    for (const ModelServer &S : M.Servers)
       Left += Term(S.Accepted) > T ? 1 : 0;
     return Left >= majorityOf(ServerCount);
   }
@@ -364,12 +364,12 @@
 
   // Removes what no longer has an effect, so that states that differ only in it count as one.
   void normalize(Model &M) const {
-    for (TestServer &S : M.Servers)
+    for (ModelServer &S : M.Servers)
       if (S.Is != Role::Replica)
         S.Matched = 0;
     for (size_t T = 1; T < TermLimit; ++T) {
       bool Over = std::all_of(M.Servers.begin(), M.Servers.end(),
-                              [T](const TestServer &S) { return S.Accepted > T; });
+                              [T](const ModelServer &S) { return S.Accepted > T; });
       if (Over)
         M.Terms[T] = TermState();
       for (uint8_t P = 0; P < ProposerCount; ++P)
@@ -379,7 +379,7 @@
 
   // A term that a server has promoted, or accepted from another proposer, takes no accept call.
   void normalizeAttempt(Model &M, uint8_t P, size_t T) const {
-    auto Open = [&](const TestServer &S) {
+    auto Open = [&](const ModelServer &S) {
       return S.Accepted < T || (S.Accepted == T && S.Proposer == ProposerNames[P] && !S.Promoted);
     };
     if (std::none_of(M.Servers.begin(), M.Servers.end(), Open)) {
@@ -424,7 +424,7 @@
     this->Hash ^= this->Hash >> 28;
     return *this;
   }
-  Digest &add(const TestLog &Log) {
+  Digest &add(const SmallLog &Log) {
     std::array<uint64_t, 2> Words = Log.packed();
     return this->add(Words[0]).add(Words[1]);
   }
@@ -436,7 +436,7 @@
 
 inline uint64_t Explorer::fingerprint(const Model &M, std::array<uint8_t, ProposerCount> Order) {
   Digest D;
-  for (const TestServer &S : M.Servers) {
+  for (const ModelServer &S : M.Servers) {
     uint64_t By = S.Proposer == ProposerNames[Order[0]]   ? 1
                   : S.Proposer == ProposerNames[Order[1]] ? 2
                                                           : 0;
--- a/src/group/test_server.h
+++ b/src/group/test_server.h
@@ -9,6 +9,7 @@
 #include <cassert>
 #include <cstring>
 #include <string>
+#include <vector>
 
 namespace toucan::group {
 
@@ -19,7 +20,7 @@
 };
 
 // Fixed size, so that the model check copies states without allocations.
-class TestLog {
+class SmallLog {
 public:
   size_t size() const { return this->Count; }
   bool empty() const { return this->Count == 0; }
@@ -37,7 +38,6 @@
   }
   // Eight entries in two words, equal only for equal logs.
   std::array<uint64_t, 2> packed() const {
-    assert(this->Count <= 8);
     std::array<uint64_t, 2> Words{};
     std::memcpy(Words.data(), this->Entries.data(), sizeof Words);
     return Words;
@@ -45,15 +45,19 @@
 
 private:
   size_t Count = 0;
-  std::array<TestEntry, 16> Entries{};
+  std::array<TestEntry, 8> Entries{};
 };
 
-struct TestServer {
+struct LongLog : std::vector<TestEntry> {
+  void truncate(size_t Size) { this->resize(std::min(Size, this->size())); }
+};
+
+template <class LogType> struct BasicServer {
   uint64_t Accepted = 0;
   std::string Proposer;
   Role Is = Role::Fenced;
   bool Promoted = false; // the proposer of the accepted term has promoted this server
-  TestLog Log;
+  LogType Log;
   size_t Matched = 0; // entries known to be the same as in the log of the followed primary
   size_t Applied = 0;
   std::string Following;
@@ -116,7 +120,7 @@
 
   // Receives the next entry of the primary's log. The first one found to differ removes the rest
   // of the own log.
-  bool receive(const TestLog &Primary) {
+  bool receive(const LogType &Primary) {
     if (this->Is != Role::Replica || this->Matched >= Primary.size())
       return false;
     const TestEntry &Next = Primary[this->Matched];
@@ -146,6 +150,9 @@
   }
 };
 
+using TestServer = BasicServer<LongLog>;
+using ModelServer = BasicServer<SmallLog>;
+
 } // namespace toucan::group
 
 #endif // TOUCAN_GROUP_TEST_SERVER_H
