Use std::mutex where the thread sanitizer must see the lock

Cause: Debian builds Abseil without the thread sanitizer, so data under absl::Mutex is reported as a race (seen in the tests of platform and toucanctl). Ruled out: suppressions for absl, which would hide real races in the same functions. Change: Loop, Metrics and PlatformThread lock std::mutex (POSIX mutex underneath). No functional change.

--- a/src/base/loop.cpp
+++ b/src/base/loop.cpp
@@ -66,7 +66,7 @@
 void Loop::post(Task Fn) {
   bool WasEmpty;
   {
-    absl::MutexLock Lock(&this->Mutex);
+    std::lock_guard Lock(this->Mutex);
     WasEmpty = this->Posted.empty();
     this->Posted.push_back(std::move(Fn));
   }
@@ -120,7 +120,7 @@
 void Loop::runPosted() {
   std::vector<Task> Ready;
   {
-    absl::MutexLock Lock(&this->Mutex);
+    std::lock_guard Lock(this->Mutex);
     Ready.swap(this->Posted);
   }
   for (Task &Fn : Ready)
--- a/src/base/loop.h
+++ b/src/base/loop.h
@@ -4,14 +4,13 @@
 
 #include "base/ids.h"
 
-#include "absl/base/thread_annotations.h"
 #include "absl/container/flat_hash_map.h"
-#include "absl/synchronization/mutex.h"
 
 #include <cstdint>
 #include <functional>
 #include <map>
 #include <memory>
+#include <mutex>
 #include <utility>
 #include <vector>
 
@@ -72,8 +71,9 @@
   absl::flat_hash_map<int, std::shared_ptr<Watch>> Watches;
   std::map<std::pair<Instant, TimerId>, Task> Timers;
   absl::flat_hash_map<TimerId, Instant> TimerDeadlines;
-  absl::Mutex Mutex;
-  std::vector<Task> Posted ABSL_GUARDED_BY(Mutex);
+  // Debian builds absl::Mutex without the thread sanitizer, which would report its users as races.
+  std::mutex Mutex; // guards Posted
+  std::vector<Task> Posted;
 };
 
 } // namespace toucan
--- a/src/base/metrics.cpp
+++ b/src/base/metrics.cpp
@@ -22,7 +22,7 @@
 }
 
 void Metrics::add(std::string_view Name, uint64_t Delta) {
-  absl::MutexLock Lock(&this->Mutex);
+  std::lock_guard Lock(this->Mutex);
   auto It = this->Named.find(Name);
   if (It == this->Named.end())
     It = this->Named.emplace(std::string(Name), 0).first;
@@ -30,12 +30,12 @@
 }
 
 void Metrics::set(std::string_view Name, int64_t Value) {
-  absl::MutexLock Lock(&this->Mutex);
+  std::lock_guard Lock(this->Mutex);
   this->Gauges.insert_or_assign(std::string(Name), Value);
 }
 
 void Metrics::latency(std::string_view WorkClass, absl::Duration Elapsed) {
-  absl::MutexLock Lock(&this->Mutex);
+  std::lock_guard Lock(this->Mutex);
   auto It = this->Latencies.find(WorkClass);
   if (It == this->Latencies.end()) {
     Axis Bounds(LatencyBuckets, LatencyMinSeconds, LatencyMaxSeconds);
@@ -53,7 +53,7 @@
 }
 
 uint64_t Metrics::value(std::string_view Name) const {
-  absl::MutexLock Lock(&this->Mutex);
+  std::lock_guard Lock(this->Mutex);
   auto It = this->Named.find(Name);
   return It == this->Named.end() ? 0 : It->second;
 }
@@ -65,19 +65,19 @@
     std::string_view Family = reasonIsRetry(R) ? "retries_total" : "refusals_total";
     All[absl::StrFormat("%s{reason=\"%s\"}", Family, reasonName(R))] = this->value(R);
   }
-  absl::MutexLock Lock(&this->Mutex);
+  std::lock_guard Lock(this->Mutex);
   for (const auto &[Name, Value] : this->Named)
     All[Name] = Value;
   return All;
 }
 
 std::map<std::string, int64_t> Metrics::gauges() const {
-  absl::MutexLock Lock(&this->Mutex);
+  std::lock_guard Lock(this->Mutex);
   return {this->Gauges.begin(), this->Gauges.end()};
 }
 
 std::vector<LatencySnapshot> Metrics::latencies() const {
-  absl::MutexLock Lock(&this->Mutex);
+  std::lock_guard Lock(this->Mutex);
   std::vector<LatencySnapshot> All;
   for (const auto &[Name, L] : this->Latencies) {
     LatencySnapshot Out;
--- a/src/base/metrics.h
+++ b/src/base/metrics.h
@@ -5,15 +5,13 @@
 #include "base/ids.h"
 #include "base/verdict.h"
 
-#include "absl/base/thread_annotations.h"
-#include "absl/synchronization/mutex.h"
-
 #include <boost/histogram.hpp>
 
 #include <array>
 #include <atomic>
 #include <cstdint>
 #include <map>
+#include <mutex>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -58,10 +56,11 @@
   };
 
   std::array<std::atomic<uint64_t>, ReasonCount> Reasons;
-  mutable absl::Mutex Mutex;
-  std::map<std::string, uint64_t, std::less<>> Named ABSL_GUARDED_BY(Mutex);
-  std::map<std::string, int64_t, std::less<>> Gauges ABSL_GUARDED_BY(Mutex);
-  std::map<std::string, Latency, std::less<>> Latencies ABSL_GUARDED_BY(Mutex);
+  // Debian builds absl::Mutex without the thread sanitizer, which would report its users as races.
+  mutable std::mutex Mutex;
+  std::map<std::string, uint64_t, std::less<>> Named;
+  std::map<std::string, int64_t, std::less<>> Gauges;
+  std::map<std::string, Latency, std::less<>> Latencies;
 };
 
 } // namespace toucan
--- a/src/daemon/platform_thread.cpp
+++ b/src/daemon/platform_thread.cpp
@@ -2,6 +2,8 @@
 
 #include "absl/strings/str_format.h"
 
+#include <algorithm>
+
 namespace toucan::daemon {
 
 namespace {
@@ -22,26 +24,28 @@
 
 void PlatformThread::stop() {
   {
-    absl::MutexLock Lock(&this->Mutex);
+    std::lock_guard Lock(this->Mutex);
     this->Stopped = true;
   }
+  this->Wake.notify_one();
   if (this->Thread.joinable())
     this->Thread.join();
 }
 
 void PlatformThread::setInterval(absl::Duration Wanted) {
-  absl::MutexLock Lock(&this->Mutex);
+  std::lock_guard Lock(this->Mutex);
   this->Interval = Wanted;
 }
 
 void PlatformThread::announcePrimary(const DatabaseName &Database, Term InTerm,
                                      const TargetId &Primary) {
-  absl::MutexLock Lock(&this->Mutex);
+  std::lock_guard Lock(this->Mutex);
   if (this->Announcements.size() >= MaxAnnouncements)
     this->Announcements.pop_front();
   this->Announcements.push_back(
       {.Key = absl::StrFormat("group/%s", Database.Value),
        .Value = absl::StrFormat("{\"term\":%d,\"primary\":\"%s\"}", InTerm.Value, Primary.Value)});
+  this->Wake.notify_one();
 }
 
 void PlatformThread::run() {
@@ -49,14 +53,10 @@
   while (true) {
     std::deque<Announcement> Todo;
     {
-      absl::MutexLock Lock(&this->Mutex);
-      absl::Duration Wait = NextRead - monotonicNow();
-      this->Mutex.AwaitWithTimeout(absl::Condition(
-                                       +[](PlatformThread *T) ABSL_NO_THREAD_SAFETY_ANALYSIS {
-                                         return T->Stopped || !T->Announcements.empty();
-                                       },
-                                       this),
-                                   Wait);
+      std::unique_lock Lock(this->Mutex);
+      absl::Duration Wait = std::max(absl::ZeroDuration(), NextRead - monotonicNow());
+      this->Wake.wait_for(Lock, absl::ToChronoMicroseconds(Wait),
+                          [this] { return this->Stopped || !this->Announcements.empty(); });
       if (this->Stopped)
         return;
       Todo.swap(this->Announcements);
@@ -66,7 +66,7 @@
     if (monotonicNow() < NextRead)
       continue;
     this->readOnce();
-    absl::MutexLock Lock(&this->Mutex);
+    std::lock_guard Lock(this->Mutex);
     NextRead = monotonicNow() + this->Interval;
   }
 }
--- a/src/daemon/platform_thread.h
+++ b/src/daemon/platform_thread.h
@@ -5,12 +5,10 @@
 #include "base/base.h"
 #include "platform/platform.h"
 
-#include "absl/base/thread_annotations.h"
-#include "absl/synchronization/mutex.h"
-
-#include <atomic>
+#include <condition_variable>
 #include <deque>
 #include <functional>
+#include <mutex>
 #include <string>
 #include <thread>
 
@@ -49,10 +47,11 @@
   PlatformHandlers Handlers;
   Metrics &Counters;
   bool LastOk = true;
-  absl::Mutex Mutex;
-  bool Stopped ABSL_GUARDED_BY(Mutex) = false;
-  absl::Duration Interval ABSL_GUARDED_BY(Mutex) = absl::Seconds(1);
-  std::deque<Announcement> Announcements ABSL_GUARDED_BY(Mutex);
+  std::mutex Mutex; // guards the members below
+  std::condition_variable Wake;
+  bool Stopped = false;
+  absl::Duration Interval = absl::Seconds(1);
+  std::deque<Announcement> Announcements;
   std::thread Thread;
 };
 
