Test sessions with mutated frames

Cause: no test fed a session frames that are almost valid; an assertion or an overrun there would end the instance for all its callers.

Change: one test case; a comment. No functional change.

--- a/src/session/collector.h
+++ b/src/session/collector.h
@@ -50,7 +50,7 @@
 
 class Collector {
 public:
-  // Class is called with a text of SQL; the result is kept.
+  // Classifies a text of SQL.
   using ClassifyFn = std::function<std::shared_ptr<const sql::Classified>(const std::string &Sql)>;
 
   Collector(SessionState &State, ClassifyFn Classify, size_t MaxRequestBytes)
--- a/src/session/machine_test.cpp
+++ b/src/session/machine_test.cpp
@@ -277,3 +277,37 @@
     CHECK(Ready == Asked);
   }
 }
+
+// Guards against input that reads or writes out of bounds, or trips an assertion: a caller must not
+// end the instance.
+TEST_CASE("mutated frames end at most their own session") {
+  const std::vector<std::string> Frames = {
+      wire::query("select 1"),
+      wire::query("set application_name = 'x'"),
+      wire::sync(),
+      wire::parse({.Statement = "s", .Sql = "select $1", .ParameterTypes = {23}}),
+      wire::bind({.Portal = "p", .Statement = "s", .Rest = "\1\2\3"}),
+      wire::describe({.Kind = 'S', .Name = "s"}),
+      wire::execute({.Portal = "p", .MaxRows = 3}),
+      wire::closeObject({.Kind = 'P', .Name = "p"}),
+      wire::emptyMessage('H'),
+      wire::startup({{"user", "u"}, {"database", "orders"}, {"options", "-c toucanrun.token=x"}})};
+  size_t Closed = 0;
+  for (uint32_t Seed = 1; Seed <= 2000; ++Seed) {
+    std::mt19937 Random(Seed);
+    Transcript T;
+    if (Seed % 4 != 0)
+      start(T);
+    for (int Step = 0; Step < 20 && !T.M->closed(); ++Step) {
+      std::string Bytes = Frames[Random() % Frames.size()];
+      for (uint32_t Changes = Random() % 3; Changes > 0; --Changes)
+        Bytes[Random() % Bytes.size()] = static_cast<char>(Random());
+      Actions Out;
+      T.M->onBytes(Bytes, T.Now, Out);
+      T.event("cancel");
+      T.event("done verdict=not_run reason=canceled chunks=0");
+    }
+    Closed += T.M->closed() ? 1 : 0;
+  }
+  CHECK(Closed > 0);
+}
