--- a/src/pool/dispatch_test.cpp
+++ b/src/pool/dispatch_test.cpp
@@ -125,6 +125,27 @@
   CHECK(ids(B.started()) == std::vector<uint64_t>{5});
 }
 
+// Guards against long work that takes the slots which the present short work needs.
+TEST_CASE("long work leaves slots to the short work of the last seconds") {
+  Bench B;
+  Instant Now = T0;
+  uint64_t Id = 0;
+  CHECK(!B.D.admit(ticket(++Id), T0));
+  CHECK(!B.D.admit(ticket(++Id), T0));
+  CHECK(B.started(Now).size() == 2);
+  Now += absl::Seconds(10);
+  CHECK(B.started(Now).empty());
+  B.end(P);
+  B.end(P);
+  for (int I = 0; I < 3; ++I) {
+    Ticket T = longTicket(++Id);
+    T.Deadline = Now + absl::Seconds(1000);
+    CHECK(!B.D.admit(T, Now));
+  }
+  CHECK(B.started(Now).size() == 1);
+  CHECK(B.started(Now + absl::Seconds(120)).size() == 1);
+}
+
 // Guards against requests that wait in vain, and against refusals without a hint.
 TEST_CASE("admission refuses what cannot start in time") {
   Bench B(100);
@@ -234,6 +255,18 @@
   CHECK(ids(B.started()) == std::vector<uint64_t>{3});
 }
 
+// Guards against a deadlock: all slots held by requests that wait for a lock of the transaction.
+TEST_CASE("a request of an open transaction does not wait for a slot") {
+  Bench B;
+  for (uint64_t Id : {1, 2, 3, 4})
+    CHECK(!B.D.admit(ticket(Id), T0));
+  CHECK(B.started().size() == 3);
+  Ticket InTransaction = ticket(5);
+  InTransaction.Pinned = P;
+  CHECK(!B.D.admit(InTransaction, T0));
+  CHECK(ids(B.started()) == std::vector<uint64_t>{5});
+}
+
 // Guards against a storm of connection attempts, more connections than the server allows, and a
 // loop that spins while a target cannot be reached.
 TEST_CASE("connections are opened one at a time, within the limit, with a pause after a failure") {
