toucan-bench prints a signature of the decisions

Cause: commits must show whether they change a decision. Change: bench/signature_main.cpp runs dispatch, membership, classification and rules on seeded input and hashes every decision. Ruled out: timing as part of the signature; it would not be deterministic.

--- /dev/null
+++ b/bench/signature_main.cpp
@@ -0,0 +1,234 @@
+// toucan-bench: runs the pure decision code on seeded input and prints the time of each part and
+// one signature of all decisions. The signature changes exactly when a decision changes, so a
+// commit that claims "No functional change" must leave it as it is.
+#include "member/member.h"
+#include "pool/dispatch.h"
+#include "rules/rules.h"
+#include "sql/sql.h"
+
+#include "absl/strings/str_format.h"
+
+#include <cstdio>
+#include <map>
+#include <memory>
+#include <queue>
+#include <random>
+#include <string>
+#include <tuple>
+
+using namespace toucan;
+
+namespace {
+
+constexpr uint64_t Seed = 1;
+constexpr int DispatchSteps = 40'000;
+constexpr size_t Members = 64;
+constexpr int MembershipSteps = 300;
+constexpr int Statements = 3000;
+constexpr int RuleLookups = 20'000;
+
+// FNV-1a over everything that was decided.
+class Signature {
+public:
+  void add(std::string_view Text) {
+    for (char C : Text)
+      this->Hash = (this->Hash ^ static_cast<unsigned char>(C)) * 0x100000001b3U;
+  }
+  void add(uint64_t V) { this->add(absl::StrFormat("%d;", V)); }
+  uint64_t value() const { return this->Hash; }
+
+private:
+  uint64_t Hash = 0xcbf29ce484222325U;
+};
+
+member::Group benchGroup() {
+  member::Group G{.Name = DatabaseName("orders"), .SlotsPerTarget = 2, .ConnectionsPerTarget = 30};
+  for (int I = 1; I <= 3; ++I)
+    G.Targets.push_back({.Id = TargetId(absl::StrFormat("orders-%d", I))});
+  return G;
+}
+
+group::GroupState benchState(const member::Group &G, Instant Now) {
+  group::GroupState S{.Database = G.Name, .Current = Term(1), .Primary = G.Targets[0].Id};
+  for (const member::Target &T : G.Targets)
+    S.Servers.push_back({.Id = T.Id,
+                         .Reachable = true,
+                         .Is = T.Id == *S.Primary ? group::Role::Primary : group::Role::Replica,
+                         .Accepted = Term(1),
+                         .Received = 100,
+                         .Applied = 100,
+                         .AsOf = Now,
+                         .CurrentAt = Now});
+  return S;
+}
+
+// Short and long requests on a group whose executions end after seeded times.
+uint64_t benchDispatch() {
+  struct End {
+    Instant At;
+    pool::TicketId Id;
+    TargetId Target;
+    rules::WorkClass Class;
+    bool operator>(const End &O) const { return std::tie(At, Id) > std::tie(O.At, O.Id); }
+  };
+  Signature Out;
+  std::mt19937_64 Random(Seed);
+  member::Group G = benchGroup();
+  Instant Now = absl::UnixEpoch();
+  group::GroupState State = benchState(G, Now);
+  pool::Dispatcher D({.Seed = Seed});
+  D.setGroup(G);
+  D.setState(&State);
+  std::priority_queue<End, std::vector<End>, std::greater<>> Running;
+  std::map<pool::TicketId, rules::WorkClass> Classes;
+  for (int Step = 1; Step <= DispatchSteps; ++Step) {
+    Now += absl::Microseconds(Random() % 4000);
+    while (!Running.empty() && Running.top().At <= Now) {
+      End E = Running.top();
+      Running.pop();
+      D.ended(E.Target, E.Class, absl::Milliseconds(2));
+      D.released(E.Target);
+    }
+    bool Long = Random() % 50 == 0;
+    pool::Ticket T{.Id = pool::TicketId(static_cast<uint64_t>(Step)),
+                   .Class = Long ? rules::WorkClass::Long : rules::WorkClass::Short,
+                   .FairnessKey = absl::StrFormat("c%d", Random() % 20),
+                   .ReplicaAllowed = Random() % 3 == 0,
+                   .MaxAge = absl::Hours(1),
+                   .Arrived = Now,
+                   .Deadline = Now + absl::Milliseconds(500)};
+    Classes[T.Id] = T.Class;
+    if (auto Refused = D.admit(T, Now))
+      Out.add(reasonName(Refused->Why));
+    for (const pool::Action &A : D.next(Now)) {
+      Out.add(static_cast<uint64_t>(A.Kind));
+      Out.add(A.Request.Value);
+      Out.add(A.At.Value);
+      if (A.Kind == pool::ActionKind::Open)
+        D.connected(A.At);
+      if (A.Kind != pool::ActionKind::Start)
+        continue;
+      absl::Duration Time = Classes[A.Request] == rules::WorkClass::Long
+                                ? absl::Milliseconds(200)
+                                : absl::Microseconds(1000 + Random() % 4000);
+      Running.push(
+          {.At = Now + Time, .Id = A.Request, .Target = A.At, .Class = Classes[A.Request]});
+    }
+  }
+  return Out.value();
+}
+
+// Members with a network that loses some messages, one frozen member, one change of rules.
+uint64_t benchMembership() {
+  Signature Out;
+  std::mt19937_64 Random(Seed);
+  Instant Now = absl::UnixEpoch();
+  std::vector<std::unique_ptr<member::Membership>> Nodes;
+  std::vector<member::Listed> List;
+  for (size_t I = 0; I < Members; ++I) {
+    InstanceId Id(absl::StrFormat("%d", I));
+    List.push_back({.Id = Id, .LinkEndpoint = "e"});
+    Nodes.push_back(std::make_unique<member::Membership>(member::MembershipOptions{
+        .Self = Id, .LinkEndpoint = "e", .Incarnation = 1, .Seed = I + 1}));
+  }
+  std::queue<member::OutgoingHeartbeat> Queue;
+  auto Push = [&](std::vector<member::OutgoingHeartbeat> Sent) {
+    for (member::OutgoingHeartbeat &H : Sent)
+      Queue.push(std::move(H));
+  };
+  for (auto &N : Nodes)
+    Push(N->onList(List, Now));
+  for (int Step = 0; Step < MembershipSteps; ++Step) {
+    Now += absl::Milliseconds(100);
+    bool Frozen = Step > 100 && Step < 200;
+    for (size_t I = Frozen ? 1 : 0; I < Members; ++I)
+      Push(Nodes[I]->tick(Now));
+    if (Step == 150)
+      Push(Nodes[5]->setRulesVersion(RulesVersion(1), Now));
+    while (!Queue.empty()) {
+      member::OutgoingHeartbeat H = std::move(Queue.front());
+      Queue.pop();
+      size_t To = std::stoul(H.To.Value);
+      if (Random() % 20 != 0 && !(Frozen && To == 0))
+        Push(Nodes[To]->onHeartbeat(H.Message, Now));
+    }
+    Out.add(Nodes[Random() % Members]->changes());
+  }
+  for (const auto &N : Nodes)
+    for (const member::Member &M : N->members()) {
+      Out.add(static_cast<uint64_t>(M.Status));
+      Out.add(M.Rules.Value);
+    }
+  return Out.value();
+}
+
+uint64_t benchSql() {
+  static const char *const Texts[] = {
+      "select * from stock where id = %d",
+      "insert into bookings values (%d, 'x')",
+      "update callouts set state = %d where id = 7",
+      "begin",
+      "commit",
+      "select count(*) from (select distinct street from callouts where id > %d) s",
+      "select nextval('n') + %d",
+      "select * from stock for update -- %d",
+      "set timezone = 'UTC'"};
+  Signature Out;
+  std::mt19937_64 Random(Seed);
+  for (int I = 0; I < Statements; ++I) {
+    std::string Text = Texts[Random() % std::size(Texts)];
+    if (size_t At = Text.find("%d"); At != std::string::npos)
+      Text.replace(At, 2, absl::StrFormat("%d", Random() % 1000));
+    sql::Classified C = sql::classifyText(Text);
+    Out.add(C.Fingerprint);
+    for (const sql::Statement &S : C.Statements)
+      Out.add(static_cast<uint64_t>(S.Is));
+  }
+  return Out.value();
+}
+
+uint64_t benchRules() {
+  Signature Out;
+  std::mt19937_64 Random(Seed);
+  std::string Text;
+  for (int I = 0; I < 2000; ++I)
+    Text += absl::StrFormat("read database=d%d table=t%d max_age=%ds # bench\n", I % 100, I, I + 1);
+  auto Rules = capture([&] { return rules::RuleSet::parse(Text, "bench"); });
+  if (!Rules) {
+    std::fprintf(stderr, "toucan-bench: %s\n", Rules.Problem.Message.c_str());
+    return 0;
+  }
+  for (int I = 0; I < RuleLookups; ++I) {
+    uint64_t N = Random() % 2500;
+    rules::Policy P = Rules->policyFor({.Database = DatabaseName(absl::StrFormat("d%d", N % 100)),
+                                        .Tables = {absl::StrFormat("t%d", N)}});
+    Out.add(static_cast<uint64_t>(absl::ToInt64Seconds(P.MaxAge)));
+  }
+  return Out.value();
+}
+
+struct Part {
+  const char *Name;
+  uint64_t (*Run)();
+};
+
+constexpr Part Parts[] = {{"dispatch", benchDispatch},
+                          {"membership", benchMembership},
+                          {"sql", benchSql},
+                          {"rules", benchRules}};
+
+} // namespace
+
+int main() {
+  Signature Total;
+  for (const Part &P : Parts) {
+    Instant Start = monotonicNow();
+    uint64_t Value = P.Run();
+    std::printf("%-12s %8.1f ms  %016llx\n", P.Name,
+                absl::ToDoubleMilliseconds(monotonicNow() - Start),
+                static_cast<unsigned long long>(Value));
+    Total.add(Value);
+  }
+  std::printf("Signature: %llu\n", static_cast<unsigned long long>(Total.value() % 1'000'000'000));
+  return 0;
+}
