Slopes for the capacity page

Cause: docs/CAPACITY.md must rest on measured slopes. Change: scripts/slopes.sh (memory per caller, CPU per statement, control traffic per peer, CPU per monitored server); toucan-load takes start-up options, so that the stand-in is measured directly. Ruled out: perf counters, which this kind of machine does not offer reliably.

--- a/bench/load.cpp
+++ b/bench/load.cpp
@@ -37,8 +37,8 @@
   using OnDone = std::function<void(Caller &, const Job &, Outcome)>;
   using OnIdle = std::function<void(Caller &)>;
 
-  Caller(Loop &L, Address A, std::string Database, OnDone Done, OnIdle Idle)
-      : InLoop(L), To(std::move(A)), Database(std::move(Database)), Done(std::move(Done)),
+  Caller(Loop &L, Address A, const LoadOptions &Options, OnDone Done, OnIdle Idle)
+      : InLoop(L), To(std::move(A)), Options(Options), Done(std::move(Done)),
         Idle(std::move(Idle)) {}
   ~Caller() { this->closeSocket(); }
 
@@ -58,7 +58,7 @@
 
   Loop &InLoop;
   Address To;
-  std::string Database;
+  const LoadOptions &Options;
   OnDone Done;
   OnIdle Idle;
   int Fd = -1;
@@ -82,7 +82,11 @@
   inet_pton(AF_INET, this->To.Host.c_str(), &Addr.sin_addr);
   // Non-blocking: the outcome shows when the socket becomes writable.
   static_cast<void>(::connect(this->Fd, reinterpret_cast<sockaddr *>(&Addr), sizeof Addr));
-  this->Out = wire::startup({{"user", "load"}, {"database", this->Database}});
+  std::map<std::string, std::string> Parameters = {{"user", "load"},
+                                                   {"database", this->Options.Database}};
+  if (!this->Options.StartupOptions.empty())
+    Parameters["options"] = this->Options.StartupOptions;
+  this->Out = wire::startup(Parameters);
   this->InLoop.watch(this->Fd, EPOLLIN | EPOLLOUT, [this](uint32_t E) { this->onEvent(E); });
 }
 
@@ -210,8 +214,8 @@
 Caller &Run::addCaller(Caller::OnIdle Idle) {
   const Address &A = this->Options.Proxies[this->Callers.size() % this->Options.Proxies.size()];
   this->Callers.push_back(std::make_unique<Caller>(
-      this->L, A, this->Options.Database,
-      [this](Caller &, const Job &J, Outcome O) { this->onDone(J, O); }, std::move(Idle)));
+      this->L, A, this->Options, [this](Caller &, const Job &J, Outcome O) { this->onDone(J, O); },
+      std::move(Idle)));
   return *this->Callers.back();
 }
 
--- a/bench/load.h
+++ b/bench/load.h
@@ -34,6 +34,7 @@
 struct LoadOptions {
   std::vector<Address> Proxies;
   std::string Database;
+  std::string StartupOptions; // "options" of the start-up packet
   std::vector<Stream> Streams;
   size_t Callers = 100; // connections for the open-loop streams
   bool Surge = false;   // every open-loop caller connects in the first second and sends one request
--- a/bench/load_main.cpp
+++ b/bench/load_main.cpp
@@ -30,6 +30,7 @@
      .Max = 1000,
      .Help = "Comma-separated HOST:PORT, IP numbers; callers are spread over them."},
     {.Name = "database", .Required = true, .Min = 1, .Max = 64, .Help = "Database name."},
+    {.Name = "options", .Default = "", .Help = "Options of the start-up packet."},
     {.Name = "callers",
      .Kind = SettingKind::Integer,
      .Default = "50",
@@ -99,6 +100,7 @@
   BOOST_LEAF_AUTO(Proxies, parseAddresses(V.text("proxies")));
   O.Proxies = std::move(Proxies);
   O.Database = V.text("database");
+  O.StartupOptions = V.text("options");
   O.Callers = static_cast<size_t>(V.integer("callers"));
   O.Surge = V.text("mode") == "surge";
   O.Duration = absl::Milliseconds(V.integer("duration-ms"));
--- a/scripts/cluster.sh
+++ b/scripts/cluster.sh
@@ -4,7 +4,7 @@
 
 declare -A server_pid server_port
 declare -a proxy_pid proxy_port proxy_link proxy_http all_pids
-databases=(rounds orders stock)
+[ -n "${databases+set}" ] || databases=(rounds orders stock)
 : "${SERVER_SLOTS:=3}" "${SERVER_CONNECTIONS:=25}" "${SERVER_CONNECT_DELAY_MS:=10}"
 places=("chc-1 canterbury" "dud-1 otago" "por-1 wellington")
 token_key=demo-key-0123456789abcdef
--- /dev/null
+++ b/scripts/slopes.sh
@@ -0,0 +1,110 @@
+#!/usr/bin/env bash
+# Measures the slopes behind docs/CAPACITY.md with real processes on loopback. Prints one line of
+# key=value pairs a measurement; CPU times are user and system time of the process.
+# Usage: scripts/slopes.sh callers|statements|peers|servers
+set -euo pipefail
+cd "$(dirname "$0")/.."
+what=${1:-}
+case "$what" in
+  callers|statements|peers|servers) ;;
+  *) echo "usage: scripts/slopes.sh callers|statements|peers|servers" >&2; exit 2 ;;
+esac
+scripts/build.sh plain toucanrund toucanctl toucan-load standin-db standin-platform
+bin=$PWD/build
+work=$(mktemp -d)
+databases=(orders)
+. scripts/cluster.sh
+trap 'stop_all; rm -rf "$work"' EXIT
+ulimit -n "$(ulimit -Hn)"
+
+cpu_ms() { awk -v hz="$(getconf CLK_TCK)" '{print ($14 + $15) * 1000 / hz}' "/proc/$1/stat"; }
+rss_kb() { awk '/VmRSS/ {print $2}' "/proc/$1/status"; }
+# Usage: metric PROXY NAME
+metric() { curl -sf "http://127.0.0.1:${proxy_http[$1]}/metrics" | awk -v n="toucanrun_$2" '$1 == n {print $2}'; }
+start_some() {
+  local i database number
+  start_platform
+  for database in ${databases[@]+"${databases[@]}"}; do
+    for number in 1 2 3; do start_server "$database" "$number"; done
+  done
+  publish_groups
+  for i in $(seq 0 $(($1 - 1))); do start_proxy "$i"; done
+  publish_instances
+  wait_for members members_alive "$1"
+}
+
+# Memory of one proxy with idle callers.
+measure_callers() {
+  local count before
+  start_some 1
+  before=$(rss_kb "${proxy_pid[0]}")
+  for count in 1000 10000; do
+    "$bin/toucan-load" --proxies="127.0.0.1:${proxy_port[0]}" --database=orders --callers="$count" \
+      --short-rate=0 --duration-ms=6000 --deadline-ms=100 >/dev/null &
+    local load=$!
+    sleep 4.5
+    echo "measure=callers callers=$count rss_kb=$(rss_kb "${proxy_pid[0]}") rss_kb_before=$before"
+    wait "$load"
+  done
+}
+
+# CPU per short statement: in the entry process and in the owner, and directly at the server.
+measure_statements() {
+  local owner entry rate=${RATE:-1000} seconds=10 e0 o0 how
+  start_some 2
+  wait_for table sql 0 orders "create table if not exists stock(id integer primary key, v text)"
+  sql 0 orders "insert into stock values (1, 'kerb') on conflict do nothing"
+  owner=$("$bin/toucanctl" targets --output=json | grep -o '"owner": *"proxy-[0-9]"' | head -1 | grep -o '[0-9]"' | tr -d '"')
+  for how in local forwarded; do
+    entry=$owner
+    [ "$how" = forwarded ] && entry=$((1 - owner))
+    e0=$(cpu_ms "${proxy_pid[$entry]}")
+    o0=$(cpu_ms "${proxy_pid[$owner]}")
+    result=$("$bin/toucan-load" --proxies="127.0.0.1:${proxy_port[$entry]}" --database=orders --callers=20 \
+      --short-rate=$rate --short-sql="select v from stock where id = 1" --duration-ms=$((seconds * 1000 + 1000)) --deadline-ms=1000)
+    echo "measure=statements path=$how entry_cpu_ms=$(awk "BEGIN {print $(cpu_ms "${proxy_pid[$entry]}") - $e0}")" \
+      "owner_cpu_ms=$(awk "BEGIN {print $(cpu_ms "${proxy_pid[$owner]}") - $o0}") $result"
+  done
+  primary=$("$bin/toucanctl" targets | awk '$1 == "orders" && /primary/ {print $2; exit}')
+  result=$("$bin/toucan-load" --proxies="127.0.0.1:${server_port[$primary]}" --options="-c group_term=1" --database=orders --callers=20 \
+    --short-rate=$rate --short-sql="select v from stock where id = 1" --duration-ms=$((seconds * 1000 + 1000)) --deadline-ms=1000)
+  echo "measure=statements path=direct $result"
+}
+
+# Control traffic and CPU of one daemon by the number of daemons, without databases.
+measure_peers() {
+  local count s0 r0 c0 seconds=10
+  databases=()
+  for count in 4 8 16 32; do
+    all_pids=() proxy_pid=() proxy_port=() proxy_link=() proxy_http=()
+    start_some "$count"
+    sleep 3
+    s0=$(metric 0 link_sent_bytes_total) r0=$(metric 0 link_received_bytes_total) c0=$(cpu_ms "${proxy_pid[0]}")
+    sleep "$seconds"
+    echo "measure=peers daemons=$count sent_bytes_per_s=$((($(metric 0 link_sent_bytes_total) - s0) / seconds))" \
+      "received_bytes_per_s=$((($(metric 0 link_received_bytes_total) - r0) / seconds))" \
+      "cpu_ms_per_s=$(awk "BEGIN {print ($(cpu_ms "${proxy_pid[0]}") - $c0) / $seconds}") rss_kb=$(rss_kb "${proxy_pid[0]}")"
+    stop_all
+  done
+  all_pids=()
+}
+
+# CPU of one daemon by the number of monitored servers, without load.
+measure_servers() {
+  local count c0 seconds=10
+  for count in 1 3 6; do
+    databases=()
+    for i in $(seq "$count"); do databases+=("db$i"); done
+    all_pids=() proxy_pid=() proxy_port=() proxy_link=() proxy_http=()
+    start_some 1
+    sleep 3
+    c0=$(cpu_ms "${proxy_pid[0]}")
+    sleep "$seconds"
+    echo "measure=servers servers=$((count * 3)) cpu_ms_per_s=$(awk "BEGIN {print ($(cpu_ms "${proxy_pid[0]}") - $c0) / $seconds}") rss_kb=$(rss_kb "${proxy_pid[0]}")"
+    stop_all
+  done
+  all_pids=()
+}
+
+echo "commit=$(git rev-parse --short HEAD) cores=$(nproc) load=$(cut -d' ' -f1 /proc/loadavg)"
+"measure_$what"
