Pool: record the request id inside an open transaction too

Cause: an unrepeatable request in an explicit transaction was not recorded, so a caller that lost the answer to its COMMIT and repeated the transaction would run it twice. Change: in a leased transaction the id is recorded behind a savepoint; a known id returns the first outcome and the transaction goes on. After an error of the request the transaction is aborted as usual. Only requests in a transaction that is open already, or of their own, are recorded. Ruled out: relaying the unique violation: the caller could not tell it from one of its own. Missing: a batch that holds BEGIN and the request in one Query is not recorded.

--- a/src/pool/execute.cpp
+++ b/src/pool/execute.cpp
@@ -116,7 +116,7 @@
   Request *R = this->find(Id);
   if (!R || !R->On || R->Abandoned)
     return;
-  bool Complete = R->Sent && R->On->written() && (!R->Keyed || R->Keyed->committing());
+  bool Complete = R->Sent && R->On->written() && (!R->Keyed || R->Keyed->mayHaveCommitted());
   if (Complete) {
     this->fail(*R, Reason::RequestDeadline, Verdict::MayHaveRun);
     return;
@@ -293,7 +293,8 @@
   D.mutable_observed()->set_term(R.Reply->position().InTerm.Value);
   D.mutable_observed()->set_position(R.Reply->position().Position);
   // The outcome of a recorded request is a write, also when another request has made it.
-  D.set_wrote(R.AtPrimary && !R.read() && (R.Keyed || R.Reply->sawNewPosition()));
+  bool Recorded = R.Keyed && R.Exec.lease() == 0;
+  D.set_wrote(R.AtPrimary && !R.read() && (Recorded || R.Reply->sawNewPosition()));
   D.set_target(R.Target.Value);
   D.set_by_replica(!R.AtPrimary);
   D.set_chunks(R.Reply->chunksSent());
@@ -323,7 +324,7 @@
     return;
   }
   // Up to its COMMIT, a request with an id is rolled back by the end of the connection.
-  bool Complete = R.Sent && Written && (!R.Keyed || R.Keyed->committing());
+  bool Complete = R.Sent && Written && (!R.Keyed || R.Keyed->mayHaveCommitted());
   LossOutcome Outcome = outcomeOfLoss({.Written = Complete,
                                        .Relayed = R.Reply && R.Reply->chunksSent() > 0,
                                        .Read = R.repeatable(),
--- a/src/pool/keyed.cpp
+++ b/src/pool/keyed.cpp
@@ -3,6 +3,7 @@
 #include "absl/strings/str_format.h"
 
 #include <algorithm>
+#include <array>
 
 namespace toucan::pool {
 
@@ -13,6 +14,23 @@
 // Bounds the repetitions after a missing table or a record that has just been removed.
 constexpr int MaxRestarts = 2;
 
+// Statements around a request, for each KeyedMode.
+struct ModeRow {
+  std::string_view Open;  // before the id is recorded
+  std::string_view Undo;  // after the record has failed, when the transaction goes on
+  std::string_view Close; // after the outcome is recorded
+  std::string_view Tag;   // of Close
+};
+
+constexpr std::array<ModeRow, 2> Modes = {{
+    {"BEGIN", "ROLLBACK", "COMMIT", "COMMIT"},
+    {"SAVEPOINT toucanrun_request",
+     "ROLLBACK TO SAVEPOINT toucanrun_request; RELEASE SAVEPOINT toucanrun_request",
+     "RELEASE SAVEPOINT toucanrun_request", "RELEASE"},
+}};
+
+const ModeRow &row(KeyedMode Mode) { return Modes[static_cast<size_t>(Mode)]; }
+
 std::string literal(std::string_view Text) {
   std::string Out = "'";
   for (char C : Text)
@@ -46,8 +64,9 @@
   });
 }
 
-KeyedRequest::KeyedRequest(std::string_view Key, std::string Frames, std::vector<Expected> Plan)
-    : Key(literal(Key)), Frames(std::move(Frames)), Plan(std::move(Plan)) {}
+KeyedRequest::KeyedRequest(KeyedMode Mode, std::string_view Key, std::string Frames,
+                           std::vector<Expected> Plan)
+    : Mode(Mode), Key(literal(Key)), Frames(std::move(Frames)), Plan(std::move(Plan)) {}
 
 std::string KeyedRequest::go(Step Next, std::string_view Sql) {
   this->At = Next;
@@ -58,8 +77,8 @@
   this->Answer.clear();
   return this->go(
       Step::Record,
-      absl::StrFormat("BEGIN; INSERT INTO toucanrun_requests (id, outcome) VALUES (%s, '')",
-                      this->Key));
+      absl::StrFormat("%s; INSERT INTO toucanrun_requests (id, outcome) VALUES (%s, '')",
+                      row(this->Mode).Open, this->Key));
 }
 
 std::vector<Expected> KeyedRequest::plan() const {
@@ -80,7 +99,7 @@
   case Step::Commit:
     if (!Reply.ErrorState.empty())
       return this->finishWith(Reply.Frames, Reply.Status);
-    if (Reply.CommandTag != "COMMIT")
+    if (Reply.CommandTag != row(this->Mode).Tag)
       this->Answer = wire::error("ERROR", "40000", "the transaction was rolled back");
     return "";
   case Step::ReadOutcome:
@@ -97,13 +116,14 @@
     return this->Frames;
   }
   if (Reply.ErrorState == UniqueViolation)
-    return this->go(
-        Step::ReadOutcome,
-        absl::StrFormat("ROLLBACK; SELECT outcome FROM toucanrun_requests WHERE id = %s",
-                        this->Key));
+    return this->go(Step::ReadOutcome,
+                    absl::StrFormat("%s; SELECT outcome FROM toucanrun_requests WHERE id = %s",
+                                    row(this->Mode).Undo, this->Key));
   if (Reply.ErrorState == UndefinedTable && this->Restarts++ < MaxRestarts)
-    return this->go(Step::CreateTable, "ROLLBACK; CREATE TABLE IF NOT EXISTS toucanrun_requests "
-                                       "(id text PRIMARY KEY, outcome text NOT NULL)");
+    return this->go(Step::CreateTable,
+                    absl::StrFormat("%s; CREATE TABLE IF NOT EXISTS toucanrun_requests "
+                                    "(id text PRIMARY KEY, outcome text NOT NULL)",
+                                    row(this->Mode).Undo));
   return this->finishWith(Reply.Frames, Reply.Status);
 }
 
@@ -111,10 +131,12 @@
   if (!Reply.ErrorState.empty())
     return this->finishWith(Reply.Frames, Reply.Status);
   this->Answer = Reply.Frames;
-  return this->go(
-      Step::Commit,
-      absl::StrFormat("UPDATE toucanrun_requests SET outcome = %s WHERE id = %s; COMMIT",
-                      literal(Reply.CommandTag), this->Key));
+  // The request itself has ended the caller's transaction; its id is recorded without an outcome.
+  if (Reply.Status != 'T')
+    return "";
+  return this->go(Step::Commit,
+                  absl::StrFormat("UPDATE toucanrun_requests SET outcome = %s WHERE id = %s; %s",
+                                  literal(Reply.CommandTag), this->Key, row(this->Mode).Close));
 }
 
 std::string KeyedRequest::afterReadOutcome(const StepReply &Reply) {
@@ -131,10 +153,10 @@
                           Reply.Status);
 }
 
-// Ends with an answer, after a ROLLBACK when the transaction is still open.
+// Ends with an answer, after a ROLLBACK when the own transaction is still open.
 std::string KeyedRequest::finishWith(std::string Frames, char Status) {
   this->Answer = std::move(Frames);
-  if (Status == 'I') {
+  if (Status == 'I' || this->Mode == KeyedMode::OpenTransaction) {
     this->At = Step::Rollback;
     return "";
   }
--- a/src/pool/keyed.h
+++ b/src/pool/keyed.h
@@ -22,13 +22,21 @@
 // True when the request executes something; only then its id may be used up.
 bool executes(const std::vector<Expected> &Plan);
 
+// Where a request with an id runs.
+enum class KeyedMode : uint8_t {
+  OwnTransaction,  // BEGIN and COMMIT are added
+  OpenTransaction, // in the caller's transaction, with a savepoint
+};
+
 // Runs a request in the steps
-//   BEGIN and INSERT of the id; the request; UPDATE of the outcome and COMMIT.
-// A key that exists already leads to ROLLBACK and SELECT of the outcome. A missing table is
-// created. After an error the transaction is rolled back, and the id is not used up.
+//   BEGIN and INSERT of the id; the request; UPDATE of the outcome and COMMIT,
+// or with a savepoint in place of BEGIN and COMMIT. An id that exists already leads to ROLLBACK and
+// SELECT of the outcome. A missing table is created. After an error of the request the transaction
+// is rolled back, by the caller when it is the caller's, and the id is not used up.
 class KeyedRequest {
 public:
-  KeyedRequest(std::string_view Key, std::string Frames, std::vector<Expected> Plan);
+  KeyedRequest(KeyedMode Mode, std::string_view Key, std::string Frames,
+               std::vector<Expected> Plan);
 
   // Starts from the first step, on any connection; returns its frames.
   std::string begin();
@@ -37,9 +45,12 @@
   std::string onReply(const StepReply &Reply);
   // The replies to expect for the present step.
   std::vector<Expected> plan() const;
-  // The COMMIT has been handed out: the request may have run. Before, the end of the connection
-  // rolls everything back.
-  bool committing() const { return this->At == Step::Commit; }
+  // A COMMIT may have been handed out. Before, the end of the connection rolls everything back. In
+  // the caller's transaction the request itself may contain the COMMIT.
+  bool mayHaveCommitted() const {
+    return this->At == Step::Commit ||
+           (this->At == Step::Run && this->Mode == KeyedMode::OpenTransaction);
+  }
   // Frames for the caller, without ReadyForQuery.
   const std::string &answer() const { return this->Answer; }
 
@@ -53,6 +64,7 @@
   std::string finishWith(std::string Frames, char Status);
   std::string outcomeAnswer(std::string_view Outcome) const;
 
+  KeyedMode Mode;
   std::string Key; // as an SQL literal
   std::string Frames;
   std::vector<Expected> Plan;
--- a/src/pool/pool.cpp
+++ b/src/pool/pool.cpp
@@ -190,10 +190,13 @@
   R.Exec = std::move(Exec);
   R.Database->LastRequest = Now;
   this->keep(*R.Database, true);
-  bool Recorded = R.Exec.once() && !R.Exec.request_key().empty() && R.Exec.lease() == 0 &&
-                  R.Exec.kind() == proto::WRITE && executes(R.Plan);
+  // A request that opens a transaction and does more cannot be recorded: the id would have to be
+  // inserted between its statements.
+  bool Recorded = R.Exec.once() && !R.Exec.request_key().empty() && executes(R.Plan) &&
+                  (R.Exec.lease() != 0 || R.Exec.kind() == proto::WRITE);
+  KeyedMode Mode = R.Exec.lease() != 0 ? KeyedMode::OpenTransaction : KeyedMode::OwnTransaction;
   if (Recorded)
-    R.Keyed = std::make_unique<KeyedRequest>(R.Exec.request_key(), R.Exec.frames(), R.Plan);
+    R.Keyed = std::make_unique<KeyedRequest>(Mode, R.Exec.request_key(), R.Exec.frames(), R.Plan);
   this->ByCaller[{From, R.Exec.request_id()}] = R.Id;
   this->Requests[R.Id] = std::move(New);
   if (R.Exec.verify_floor() && R.Exec.lease() == 0)
--- a/src/pool/relay_test.cpp
+++ b/src/pool/relay_test.cpp
@@ -194,7 +194,7 @@
 // extended-protocol caller that gets replies it cannot match.
 TEST_CASE("steps of a request with an id") {
   std::string Whole = Parse + Bind + Execute + wire::sync();
-  KeyedRequest K("k", Whole, *planReplies(Whole, {0}));
+  KeyedRequest K(KeyedMode::OwnTransaction, "k", Whole, *planReplies(Whole, {0}));
   CHECK(!executes(*planReplies(Parse + wire::sync(), {})));
   CHECK(executes(K.plan()));
   StepReply Ok{.CommandTag = "INSERT 0 1", .Status = 'T'};
@@ -204,9 +204,9 @@
           std::string::npos);
     CHECK(K.onReply({}) == Record);
     CHECK(K.onReply(Ok) == Whole);
-    CHECK(!K.committing());
+    CHECK(!K.mayHaveCommitted());
     CHECK(K.onReply(Ok).find("COMMIT") != std::string::npos);
-    CHECK(K.committing());
+    CHECK(K.mayHaveCommitted());
     CHECK(K.onReply({.CommandTag = "COMMIT"}).empty());
   }
   SUBCASE("the request fails") {
@@ -215,7 +215,7 @@
           wire::query("ROLLBACK"));
     CHECK(K.onReply({.CommandTag = "ROLLBACK"}).empty());
     CHECK(K.answer() == "error");
-    CHECK(!K.committing());
+    CHECK(!K.mayHaveCommitted());
   }
   SUBCASE("the id is known") {
     CHECK(K.onReply({.ErrorState = "23505", .Status = 'E'}).find("SELECT") != std::string::npos);
@@ -225,6 +225,39 @@
   }
 }
 
+// Guards against the end of the caller's transaction by the recording of an id.
+TEST_CASE("a request with an id in an open transaction") {
+  std::string Query = wire::query("book");
+  KeyedRequest K(KeyedMode::OpenTransaction, "k", Query, *planReplies(Query, {}));
+  StepReply Ok{.Frames = "rows", .CommandTag = "INSERT 0 1", .Status = 'T'};
+  std::string Sent = K.begin();
+  SUBCASE("runs") {
+    CHECK(K.onReply(Ok) == Query);
+    CHECK(K.mayHaveCommitted());
+    Sent += K.onReply(Ok);
+    CHECK(K.onReply({.CommandTag = "RELEASE", .Status = 'T'}).empty());
+    CHECK(K.answer() == "rows");
+  }
+  SUBCASE("ends the transaction") {
+    K.onReply(Ok);
+    CHECK(K.onReply({.Frames = "rows", .CommandTag = "COMMIT", .Status = 'I'}).empty());
+  }
+  SUBCASE("fails") {
+    K.onReply(Ok);
+    CHECK(K.onReply({.Frames = "error", .ErrorState = "22012", .Status = 'E'}).empty());
+    CHECK(K.answer() == "error");
+  }
+  SUBCASE("is known") {
+    Sent += K.onReply({.ErrorState = "23505", .Status = 'E'});
+    CHECK(Sent.find("ROLLBACK TO SAVEPOINT") != std::string::npos);
+    std::string Row = wire::Writer().begin('D').int16(1).int32(8).bytes("DELETE 3").end().take();
+    CHECK(K.onReply({.Frames = Row, .CommandTag = "SELECT 1", .Status = 'T'}).empty());
+    CHECK(K.answer() == wire::commandComplete("DELETE 3"));
+  }
+  CHECK(Sent.find("BEGIN") == std::string::npos);
+  CHECK(Sent.find("COMMIT") == std::string::npos);
+}
+
 // Guards against a refusal that says "not run" of a request that may have run.
 TEST_CASE("outcome of a lost connection") {
   auto Outcome = [](LossFacts Facts) {
--- a/src/pool/service.h
+++ b/src/pool/service.h
@@ -51,7 +51,9 @@
 
   bool read() const { return this->Exec.kind() == proto::READ; }
   // A request with a recorded id returns its first outcome when it is sent again.
-  bool repeatable() const { return this->Keyed || (this->read() && !this->Exec.once()); }
+  bool repeatable() const {
+    return this->Exec.lease() == 0 && (this->Keyed || (this->read() && !this->Exec.once()));
+  }
   rules::WorkClass workClass() const {
     return this->Exec.work_class() == proto::LONG ? rules::WorkClass::Long
                                                   : rules::WorkClass::Short;
