--- a/src/daemon/app.cpp
+++ b/src/daemon/app.cpp
@@ -5,11 +5,11 @@
 #include "daemon/platform_thread.h"
 
 #include "absl/strings/str_format.h"
-#include "absl/synchronization/notification.h"
 
 #include <atomic>
 #include <csignal>
 #include <functional>
+#include <future>
 #include <thread>
 #include <unistd.h>
 
@@ -39,12 +39,13 @@
   }
   // Runs Fn in the loop's thread and waits for it.
   template <class Fn> void call(Fn F) {
-    absl::Notification Done;
+    // std::promise rather than absl::Notification, which the thread sanitizer does not see.
+    std::promise<void> Done;
     this->L.post([&] {
       F();
-      Done.Notify();
+      Done.set_value();
     });
-    Done.WaitForNotification();
+    Done.get_future().wait();
   }
 };
 
