Stand-in database: refuse a connection when no thread can be started

Cause: in one run of test_process two stand-in servers ended with an uncaught system_error ('Resource temporarily unavailable') on a machine with a load of 20; thread creation is the only call there that reports this error, but the failure was not reproduced. Ruled out: a fault of the proxy (its log shows the lost servers only). Change: Server::addClient drops that connection.

--- a/standin/db/server.cpp
+++ b/standin/db/server.cpp
@@ -11,6 +11,7 @@
 #include <cerrno>
 #include <cstring>
 #include <random>
+#include <system_error>
 #include <utility>
 
 namespace toucan::standin {
@@ -106,10 +107,15 @@
   Client &C = this->Clients.emplace_back();
   C.S = std::make_unique<Session>(
       this->Context, Fd, SessionKey{.ProcessId = this->NextProcessId++, .SecretKey = Random()});
-  C.Thread = std::thread([&C] {
-    C.S->run();
-    C.Done = true;
-  });
+  try {
+    C.Thread = std::thread([&C] {
+      C.S->run();
+      C.Done = true;
+    });
+  } catch (const std::system_error &) {
+    // No thread can be had on a busy machine: this connection is refused, the server goes on.
+    this->Clients.pop_back();
+  }
 }
 
 void Server::joinDone() {
