--- a/src/link/link.cpp
+++ b/src/link/link.cpp
@@ -25,6 +25,7 @@
     std::unique_ptr<zmq::socket_t> Dealer;
     Instant LastSent = absl::InfinitePast(); // of requests, replies and rules
     Instant LastUsed = absl::InfinitePast(); // of any message
+    bool Heard = false;                      // it knows this instance
     // Silence is measured from here: the first message after a pause, or the last one heard.
     Instant SilentSince = absl::InfiniteFuture();
   };
@@ -121,6 +122,7 @@
   InstanceId From(Message.from());
   auto It = this->Peers.find(From);
   if (It != this->Peers.end()) {
+    It->second.Heard = true;
     It->second.SilentSince = absl::InfiniteFuture();
   }
   if (Message.has_ping()) {
@@ -149,7 +151,7 @@
   Peer &P = It->second;
   // A peer that does not know this instance yet drops its answers to it, and the request would
   // wait to its deadline. A peer that has been heard from knows this instance.
-  if (Message.has_exec() && P.LastHeard == absl::InfinitePast()) {
+  if (Message.has_exec() && !P.Heard) {
     P.LastSent = this->InLoop.now();
     this->ping(P);
     return false;
