HTTP server: wait until it listens before start() returns

Cause: test_daemon hung for good in "a taken HTTP port is a clear error" (3 of 3 runs here; the listener thread stood in accept while the destructor joined it). httplib's stop() does nothing before listen_after_bind() has set its running flag, so a stop right after start() was lost. A daemon whose start fails after this point would hang in the same way. Ruled out: the bind of the second server, which had failed as expected. Change: start() waits for the flag. Conclusion: no other change.

--- a/src/daemon/http.cpp
+++ b/src/daemon/http.cpp
@@ -7,6 +7,7 @@
 #include <prometheus/text_serializer.h>
 
 #include <array>
+#include <chrono>
 #include <thread>
 
 namespace toucan::daemon {
@@ -122,6 +123,9 @@
                                    std::strerror(errno)));
   S->Port = static_cast<uint16_t>(Bound);
   S->Thread = std::thread([S] { S->Server.listen_after_bind(); });
+  // stop() has no effect before the thread listens, and the join after it would never end.
+  while (!S->Server.is_running())
+    std::this_thread::sleep_for(std::chrono::milliseconds(1));
   return {};
 }
 
