Process tests: connections that go silent

Cause: no process test covered open connections that go silent for good while new ones work, which the fault model names.

Change: tests/relay is a TCP relay in the test process that passes, cuts or silences its connections. Silence attaches a socket filter that drops every arriving segment, so that neither data nor keep-alive probes are acknowledged; a relay that only stops reading would still acknowledge them in the kernel, and TCP user timeouts would never be tried. Cluster can put relays in front of the servers, the platform and the link ports. Heartbeats carry the bound link address, so the link relays replace it by their own. tests/silent_test.cpp silences proxy to target (idle, busy, read, write), the link between proxies (also in the middle of a large answer), proxy to platform, and caller to proxy (idle, in a transaction, busy).

Ruled out: a first form of the target test passed with the TCP timeouts switched off, because the requests ended by their own deadline (161 s). It now refuses answers that name the request's deadline.

--- a/tests/cluster.cpp
+++ b/tests/cluster.cpp
@@ -7,6 +7,8 @@
 #include <httplib.h>
 
 #include <cstdlib>
+#include <fstream>
+#include <iterator>
 #include <utility>
 
 namespace toucan::test {
@@ -23,6 +25,11 @@
   return First;
 }
 
+std::string fileText(const std::string &Path) {
+  std::ifstream In(Path);
+  return {std::istreambuf_iterator<char>(In), {}};
+}
+
 } // namespace
 
 Cluster::Cluster(ClusterOptions O) : Options(std::move(O)) {
@@ -30,19 +37,49 @@
       "standin-platform", std::vector<std::string>{"--port=0"}, this->Dir.file(PlatformName));
   this->PlatformPort = this->Platform->port("port");
   REQUIRE(this->PlatformPort != 0);
+  if (this->Options.Relays) {
+    this->PlatformFront = std::make_unique<Relay>();
+    this->PlatformFront->setTarget(this->PlatformPort);
+  }
   for (int I = 1; I <= this->Options.Servers; ++I) {
     Member &M = this->Servers.emplace_back();
     M.Name = absl::StrFormat("%s-%d", this->Options.Database, I);
     this->startServer(M);
   }
-  for (int I = 1; I <= this->Options.Proxies; ++I) {
-    Member &M = this->Proxies.emplace_back();
-    M.Name = absl::StrFormat("entry-%d", I);
-    this->startProxy(M);
-  }
+  for (int I = 1; I <= this->Options.Proxies; ++I)
+    this->startNextProxy();
   this->publish();
 }
 
+void Cluster::startNextProxy(uint16_t PlatformAt) {
+  Member &M = this->Proxies.emplace_back();
+  M.Name = absl::StrFormat("entry-%d", this->Proxies.size());
+  this->startProxy(M, PlatformAt != 0 ? PlatformAt
+                                      : shownPort(this->PlatformFront, this->PlatformPort));
+  this->relayLinks();
+}
+
+void Cluster::addProxy(uint16_t PlatformAt) {
+  REQUIRE(!this->Options.Relays); // it would tell others its own address before relayLinks()
+  this->startNextProxy(PlatformAt);
+  this->publish();
+}
+
+uint16_t Cluster::shownPort(const std::unique_ptr<Relay> &Front, uint16_t Port) {
+  return Front ? Front->port() : Port;
+}
+
+// Heartbeats carry the address that a proxy has bound. The relays put their own in its place, so
+// that no proxy learns of a way around them.
+void Cluster::relayLinks() {
+  if (!this->Options.Relays)
+    return;
+  for (const Member &Through : this->Proxies)
+    for (const Member &M : this->Proxies)
+      Through.Front->replace(absl::StrFormat("127.0.0.1:%d", M.Link),
+                             absl::StrFormat("127.0.0.1:%d", M.Front->port()));
+}
+
 void Cluster::startServer(Member &M) {
   std::vector<std::string> Flags = {
       "--id=" + M.Name,
@@ -57,9 +94,13 @@
                                   this->Dir.file(M.Name));
   M.Port = M.P->port("port");
   REQUIRE(M.Port != 0);
+  if (this->Options.Relays && !M.Front)
+    M.Front = std::make_unique<Relay>();
+  if (M.Front)
+    M.Front->setTarget(M.Port);
 }
 
-void Cluster::startProxy(Member &M) {
+void Cluster::startProxy(Member &M, uint16_t PlatformAt) {
   std::vector<std::string> Flags = {
       "--instance-id=" + M.Name,
       "--data-centre=dc1",
@@ -68,7 +109,7 @@
       "--link-port=0",
       "--http-port=0",
       "--token-key=0123456789abcdef0123456789abcdef",
-      absl::StrFormat("--platform-url=http://127.0.0.1:%d", this->PlatformPort),
+      absl::StrFormat("--platform-url=http://127.0.0.1:%d", PlatformAt),
   };
   M.P = std::make_unique<Process>("toucanrund", joined(Flags, this->Options.ProxyFlags),
                                   this->Dir.file(M.Name));
@@ -76,6 +117,10 @@
   M.Link = M.P->port("link");
   M.Http = M.P->port("http");
   REQUIRE(M.Port != 0);
+  if (this->Options.Relays) {
+    M.Front = std::make_unique<Relay>();
+    M.Front->setTarget(M.Link);
+  }
 }
 
 void Cluster::restartServer(size_t I) { this->startServer(this->Servers[I]); }
@@ -87,17 +132,23 @@
   REQUIRE(Answer->status == 200);
 }
 
+std::string Cluster::platformGet(const std::string &Path) const {
+  httplib::Client Http("127.0.0.1", this->PlatformPort);
+  auto Answer = Http.Get(Path);
+  return Answer && Answer->status == 200 ? Answer->body : "";
+}
+
 void Cluster::publish() const {
   std::vector<std::string> Instances;
   for (const Member &M : this->Proxies)
     Instances.push_back(absl::StrFormat(R"({"id":"%s","link":"127.0.0.1:%d","data_centre":"dc1",)"
                                         R"("region":"region1","state":"live"})",
-                                        M.Name, M.Link));
+                                        M.Name, shownPort(M.Front, M.Link)));
   std::vector<std::string> Targets;
   for (const Member &M : this->Servers)
     Targets.push_back(absl::StrFormat(R"({"id":"%s","host":"127.0.0.1","port":%d,)"
                                       R"("data_centre":"dc1","region":"region1","state":"live"})",
-                                      M.Name, M.Port));
+                                      M.Name, shownPort(M.Front, M.Port)));
   this->put("/admin/instances",
             absl::StrFormat(R"({"instances":[%s]})", absl::StrJoin(Instances, ",")));
   this->put(
@@ -107,15 +158,16 @@
                       absl::StrJoin(Targets, ",")));
 }
 
-bool Cluster::healthy(const Member &M) const {
-  httplib::Client Http("127.0.0.1", M.Http);
+bool Cluster::healthy(size_t Proxy) const {
+  httplib::Client Http("127.0.0.1", this->Proxies[Proxy].Http);
   auto Answer = Http.Get("/health");
   return Answer && Answer->status == 200;
 }
 
 void Cluster::waitReady() {
-  for (const Member &M : this->Proxies)
-    REQUIRE_MESSAGE(eventually([&] { return this->healthy(M); }), M.Name << " is not ready");
+  for (size_t I = 0; I < this->Proxies.size(); ++I)
+    REQUIRE_MESSAGE(eventually([&] { return this->healthy(I); }),
+                    this->Proxies[I].Name << " is not ready");
   for (size_t I = 0; I < this->Proxies.size(); ++I) {
     Answer Last;
     auto Write = [&] {
@@ -126,6 +178,19 @@
   }
 }
 
+CtlResult Cluster::ctl(std::vector<std::string> Arguments) const {
+  std::string Prefix = this->Dir.file(absl::StrFormat("ctl-%d", ++this->CtlRuns));
+  Arguments.push_back(absl::StrFormat("--platform-url=http://127.0.0.1:%d", this->PlatformPort));
+  Process Run("toucanctl", Arguments, Prefix);
+  int Code = Run.wait().value_or(-1);
+  return {.Code = Code, .Out = fileText(Prefix + ".out"), .Err = fileText(Prefix + ".err")};
+}
+
+std::string Cluster::writeFile(const std::string &Name, const std::string &Text) const {
+  std::ofstream(this->Dir.file(Name)) << Text;
+  return this->Dir.file(Name);
+}
+
 Client Cluster::client(size_t Proxy, const std::string &Settings) const {
   return Client(
       {.Port = this->proxyPort(Proxy), .Database = this->Options.Database, .Options = Settings});
--- a/tests/cluster.h
+++ b/tests/cluster.h
@@ -4,7 +4,9 @@
 
 #include "client.h"
 #include "process.h"
+#include "relay.h"
 
+#include <atomic>
 #include <cstdint>
 #include <memory>
 #include <string>
@@ -20,6 +22,8 @@
   int Connections = 25;
   std::vector<std::string> ServerFlags; // more flags of standin-db
   std::vector<std::string> ProxyFlags;  // more flags of toucanrund
+  // Connections between processes go through relays; those of the test itself do not.
+  bool Relays = false;
 };
 
 // Row of group_status() that the tests read.
@@ -31,6 +35,13 @@
   uint64_t Applied = 0;
 };
 
+// What toucanctl printed and how it ended.
+struct CtlResult {
+  int Code = -1; // exit code, -1 when it did not end in time
+  std::string Out;
+  std::string Err;
+};
+
 // Starts everything; all processes end with the object.
 class Cluster {
 public:
@@ -55,26 +66,52 @@
   size_t primary() const;
   // Starts an ended server again on its port and data.
   void restartServer(size_t I);
+  // Adds a proxy without waiting for it, and lists it. It uses another port for the platform if one
+  // is given.
+  void addProxy(uint16_t PlatformAt = 0);
+  bool healthy(size_t Proxy) const;
+  std::string proxyName(size_t I) const { return this->Proxies[I].Name; }
+
+  // Relays in front of a server, of a proxy's link port, and of the platform for all proxies.
+  Relay &serverRelay(size_t I) { return *this->Servers[I].Front; }
+  Relay &linkRelay(size_t I) { return *this->Proxies[I].Front; }
+  Relay &platformRelay() { return *this->PlatformFront; }
+
+  // PUT /admin/faults of the platform.
+  void setFaults(const std::string &Json) const { this->put("/admin/faults", Json); }
+  // GET of the platform: the body, or an empty text when the answer is not 200.
+  std::string platformGet(const std::string &Path) const;
+  uint16_t platformPort() const { return this->PlatformPort; }
+  // Runs toucanctl against the platform, without relays. Callable from several threads at once.
+  CtlResult ctl(std::vector<std::string> Arguments) const;
+  // Writes a file for toucanctl and returns its path.
+  std::string writeFile(const std::string &Name, const std::string &Text) const;
 
 private:
   struct Member {
     std::string Name;
     std::unique_ptr<Process> P;
+    std::unique_ptr<Relay> Front; // null without relays
     uint16_t Port = 0;
     uint16_t Link = 0;
     uint16_t Http = 0;
   };
 
   void startServer(Member &M);
-  void startProxy(Member &M);
+  void startProxy(Member &M, uint16_t PlatformAt);
+  void startNextProxy(uint16_t PlatformAt = 0);
+  // Port that other processes are told.
+  static uint16_t shownPort(const std::unique_ptr<Relay> &Front, uint16_t Port);
+  void relayLinks();
   void publish() const;
   void put(const std::string &Path, const std::string &Body) const;
-  bool healthy(const Member &M) const;
 
   ClusterOptions Options;
   TestDir Dir;
   std::unique_ptr<Process> Platform;
   uint16_t PlatformPort = 0;
+  std::unique_ptr<Relay> PlatformFront;
+  mutable std::atomic<int> CtlRuns = 0;
   std::vector<Member> Servers;
   std::vector<Member> Proxies;
 };
