An instance without the platform's lists owns no database

With three instances and the database "bookings" its peers made it the owner, and it refused every request of all callers with 3D000 (unknown database), because the lists name the databases. /health contradicted OPERATORS.md as well.

A joining member owns nothing and is not ready; toucanctl status shows "joining". setDraining becomes announce(State).

--- a/src/ctl/instances.cpp
+++ b/src/ctl/instances.cpp
@@ -59,6 +59,8 @@
     return "suspect";
   case member::State::Dead:
     return "dead";
+  case member::State::Joining:
+    return "joining";
   case member::State::Draining:
     return "draining";
   }
--- a/src/daemon/app.cpp
+++ b/src/daemon/app.cpp
@@ -256,8 +256,10 @@
     this->Groups->onView(View);
     this->Pool->onView(View);
   });
-  Readiness Expected = View->RulesKnown ? Readiness::NotReady : Readiness::Ready;
-  Readiness Wanted = View->RulesKnown ? Readiness::Ready : Readiness::NotReady;
+  const member::Member *Self = View->findMember(View->Self);
+  bool Serves = View->RulesKnown && Self != nullptr && Self->Status != member::State::Joining;
+  Readiness Expected = Serves ? Readiness::NotReady : Readiness::Ready;
+  Readiness Wanted = Serves ? Readiness::Ready : Readiness::NotReady;
   this->Ready.compare_exchange_strong(Expected, Wanted);
 }
 
--- a/src/daemon/control.cpp
+++ b/src/daemon/control.cpp
@@ -15,6 +15,7 @@
           .LinkEndpoint = O.LinkEndpoint,
           .At = O.At,
           .Incarnation = O.Incarnation,
+          .SelfState = member::State::Joining,
           .Seed = O.Incarnation};
 }
 
@@ -86,8 +87,7 @@
 }
 
 void ControlService::beginDrain() {
-  this->send(this->Members.setDraining(this->InLoop.now()));
-  this->Dirty = true;
+  this->send(this->Members.announce(member::State::Draining, this->InLoop.now()));
   this->publishIfChanged();
 }
 
@@ -114,10 +114,19 @@
 void ControlService::tick() {
   this->send(this->Members.tick(this->InLoop.now()));
   this->fetchNewerRules();
+  this->joinIfReady();
   this->publishIfChanged();
   this->Timer = this->InLoop.at(this->InLoop.now() + TickInterval, [this] { this->tick(); });
 }
 
+// Without the platform's lists this instance would refuse every request of the databases that it
+// owns as for an unknown database, so it takes part in ownership only after it has read them.
+void ControlService::joinIfReady() {
+  bool Joining = this->Members.self().state() == static_cast<uint32_t>(member::State::Joining);
+  if (Joining && this->HaveDirectory && this->LastRulesKnown)
+    this->send(this->Members.announce(member::State::Alive, this->InLoop.now()));
+}
+
 void ControlService::send(std::vector<member::OutgoingHeartbeat> Out) {
   for (member::OutgoingHeartbeat &H : Out) {
     proto::Envelope Message;
--- a/src/daemon/control.h
+++ b/src/daemon/control.h
@@ -46,6 +46,7 @@
   void send(std::vector<member::OutgoingHeartbeat> Out);
   void offerRules(RulesVersion Version, const std::string &Text, std::string_view Source);
   void fetchNewerRules();
+  void joinIfReady();
   void publishIfChanged();
   void publish(bool RulesKnown);
 
--- a/src/member/membership.cpp
+++ b/src/member/membership.cpp
@@ -14,6 +14,9 @@
 
 State stateOf(const proto::MemberRecord &R) { return static_cast<State>(R.state()); }
 
+// States that only the member itself announces, each with a new sequence.
+bool isAnnounced(State S) { return S == State::Draining || S == State::Joining; }
+
 // Decides whether New says more than Old: a later incarnation, then a later sequence; at the same
 // sequence a worse state wins, because only the member itself may improve its state.
 bool supersedes(const proto::MemberRecord &New, const proto::MemberRecord &Old) {
@@ -21,8 +24,8 @@
     return New.incarnation() > Old.incarnation();
   if (New.sequence() != Old.sequence())
     return New.sequence() > Old.sequence();
-  // Draining is announced with a new sequence; at the same sequence it is not worse than Alive.
-  if (stateOf(New) == State::Draining || stateOf(Old) == State::Draining)
+  // At the same sequence an announced state is not worse than Alive.
+  if (isAnnounced(stateOf(New)) || isAnnounced(stateOf(Old)))
     return stateOf(New) == State::Dead && stateOf(Old) != State::Dead;
   return New.state() > Old.state();
 }
@@ -35,7 +38,7 @@
   this->Self.set_data_centre(this->Options.At.Dc.Value);
   this->Self.set_region(this->Options.At.InRegion.Value);
   this->Self.set_incarnation(this->Options.Incarnation);
-  this->Self.set_state(static_cast<uint32_t>(State::Alive));
+  this->Self.set_state(static_cast<uint32_t>(this->Options.SelfState));
   this->Self.set_sequence(1);
 }
 
@@ -104,7 +107,7 @@
     Peer &P = It->second;
     if (P.AckDeadline <= Now) {
       P.AckDeadline = absl::InfiniteFuture();
-      if (stateOf(P.Record) == State::Alive || stateOf(P.Record) == State::Draining)
+      if (stateOf(P.Record) == State::Alive || isAnnounced(stateOf(P.Record)))
         this->setState(P, State::Suspect, Now);
     }
     if (P.DeadDeadline <= Now)
@@ -131,9 +134,10 @@
   return this->push(Now);
 }
 
-std::vector<OutgoingHeartbeat> Membership::setDraining(Instant Now) {
-  this->Self.set_state(static_cast<uint32_t>(State::Draining));
+std::vector<OutgoingHeartbeat> Membership::announce(State Status, Instant Now) {
+  this->Self.set_state(static_cast<uint32_t>(Status));
   this->raiseSequence();
+  ++this->ChangeCount;
   return this->push(Now);
 }
 
--- a/src/member/membership.h
+++ b/src/member/membership.h
@@ -23,6 +23,7 @@
   std::string LinkEndpoint;
   Place At;
   uint64_t Incarnation = 0;
+  State SelfState = State::Alive; // at the start
   absl::Duration ProbeInterval = absl::Seconds(1);
   absl::Duration AckTimeout = absl::Seconds(1); // probe to answer, before suspicion
   absl::Duration DeadAfter = absl::Seconds(3);  // suspicion to death
@@ -61,8 +62,8 @@
 
   // Records the rules version of this instance; a growth is pushed to random members at once.
   std::vector<OutgoingHeartbeat> setRulesVersion(RulesVersion Version, Instant Now);
-  // Announces that this instance is shutting down.
-  std::vector<OutgoingHeartbeat> setDraining(Instant Now);
+  // Announces a new state of this instance: Alive after Joining, or Draining.
+  std::vector<OutgoingHeartbeat> announce(State Status, Instant Now);
 
   // All members with this instance, dead ones included until they are forgotten.
   std::vector<Member> members() const;
--- a/src/member/membership_test.cpp
+++ b/src/member/membership_test.cpp
@@ -118,12 +118,31 @@
 TEST_CASE("draining is known to all within a second and is not refuted away") {
   Net N(8);
   N.run(absl::Seconds(2));
-  N.deliver(4, N.Nodes[4]->setDraining(N.Now));
+  N.deliver(4, N.Nodes[4]->announce(State::Draining, N.Now));
   N.run(absl::Seconds(3));
   for (size_t A = 0; A < 8; ++A)
     CHECK(N.seenBy(A, 4) == State::Draining);
 }
 
+// Guards against an owner that does not know the databases yet.
+TEST_CASE("a member counts as alive only once it has said so") {
+  Net N(3);
+  N.run(absl::Seconds(2));
+  N.Nodes[2] = std::make_unique<Membership>(MembershipOptions{.Self = Net::id(2),
+                                                              .LinkEndpoint = "e",
+                                                              .Incarnation = 2,
+                                                              .SelfState = State::Joining,
+                                                              .Seed = 9});
+  N.deliver(2, N.Nodes[2]->onList({{.Id = Net::id(0), .LinkEndpoint = "e"}}, N.Now));
+  N.run(absl::Seconds(5));
+  for (size_t A = 0; A < 3; ++A)
+    CHECK(N.seenBy(A, 2) == State::Joining);
+  N.deliver(2, N.Nodes[2]->announce(State::Alive, N.Now));
+  N.run(absl::Seconds(3));
+  for (size_t A = 0; A < 3; ++A)
+    CHECK(N.seenBy(A, 2) == State::Alive);
+}
+
 // Guards against control traffic that grows with the number of members.
 TEST_CASE("messages and bytes per member do not grow with the member count") {
   auto PerMember = [](size_t Count) {
--- a/src/member/view.h
+++ b/src/member/view.h
@@ -13,7 +13,8 @@
 
 namespace toucan::member {
 
-enum class State : uint8_t { Alive = 1, Suspect = 2, Dead = 3, Draining = 4 };
+// Joining: has not read the platform's lists and the rules yet, so it can own nothing.
+enum class State : uint8_t { Alive = 1, Suspect = 2, Dead = 3, Draining = 4, Joining = 5 };
 
 struct Place {
   DataCentre Dc;
--- a/tests/config_test.cpp
+++ b/tests/config_test.cpp
@@ -1,5 +1,6 @@
 // Changes of the rules while operators compete, the store fails or an instance is paused.
 #include "cluster.h"
+#include "relay.h"
 
 #include "absl/strings/match.h"
 #include "absl/strings/str_format.h"
@@ -217,6 +218,31 @@
   CHECK(versions(C)[C.proxyName(New)] == 1);
 }
 
+// Guards against an instance without the platform's lists that is ready, or that becomes the owner
+// of databases it does not know; and against one that needs the store for rules its peers know.
+TEST_CASE("a proxy that only its peers can reach learns the rules from them") {
+  Cluster C({.Database = "bookings"}); // of three proxies the third one is its owner
+  C.waitReady();
+  applyOk(C, "t", 0);
+  REQUIRE(C.client(0).run("create table w(id bigint)").ok());
+  Relay NoPlatform;
+  C.addProxy(NoPlatform.port());
+  size_t New = C.proxies() - 1;
+  CHECK(eventually([&] { return versions(C)[C.proxyName(New)] == 1; }));
+  // Time for its peers to hear of it, and to hand it the database if they did that.
+  auto End = std::chrono::steady_clock::now() + std::chrono::seconds(5);
+  while (std::chrono::steady_clock::now() < End) {
+    CHECK_FALSE(C.healthy(New));
+    for (size_t Proxy = 0; Proxy < New; ++Proxy) {
+      Answer A = C.client(Proxy).run("insert into w values (1)");
+      REQUIRE_MESSAGE(A.ok(), A.State << " " << A.Message);
+    }
+  }
+  NoPlatform.setTarget(C.platformPort());
+  CHECK(eventually([&] { return C.healthy(New); }));
+  CHECK(eventually([&] { return C.client(New).run("insert into w values (1)").ok(); }));
+}
+
 // Guards against a paused instance that goes on under old rules, or makes others go back to them.
 TEST_CASE("a proxy that was paused takes over the newer rules") {
   Cluster C({.Proxies = 3});
