--- a/tests/proxy_test.cpp
+++ b/tests/proxy_test.cpp
@@ -236,6 +236,7 @@
   REQUIRE(C.client(0).run("create table t(a bigint)").ok());
   for (int I = 0; I < 4; ++I) {
     C.addProxy();
+    REQUIRE(eventually([&] { return C.healthy(C.proxies() - 1); }));
     Answer A;
     CHECK(eventually([&] {
       A = C.client(C.proxies() - 1).run("insert into t values (1)");
