--- a/tests/cluster.cpp
+++ b/tests/cluster.cpp
@@ -68,7 +68,7 @@
       "--link-port=0",
       "--http-port=0",
       "--token-key=0123456789abcdef0123456789abcdef",
-      absl::StrFormat("--platform-url=http://127.0.0.1:%d", this->PlatformPort),
+      "--platform-url=" + this->platformUrl(),
   };
   M.P = std::make_unique<Process>("toucanrund", joined(Flags, this->Options.ProxyFlags),
                                   this->Dir.file(M.Name));
@@ -78,6 +78,15 @@
   REQUIRE(M.Port != 0);
 }
 
+std::string Cluster::platformUrl() const {
+  return absl::StrFormat("http://127.0.0.1:%d", this->PlatformPort);
+}
+
+void Cluster::listLeaving(size_t Server) {
+  this->Servers[Server].State = "leaving";
+  this->publish();
+}
+
 void Cluster::restartServer(size_t I) { this->startServer(this->Servers[I]); }
 
 void Cluster::put(const std::string &Path, const std::string &Body) const {
@@ -96,8 +105,8 @@
   std::vector<std::string> Targets;
   for (const Member &M : this->Servers)
     Targets.push_back(absl::StrFormat(R"({"id":"%s","host":"127.0.0.1","port":%d,)"
-                                      R"("data_centre":"dc1","region":"region1","state":"live"})",
-                                      M.Name, M.Port));
+                                      R"("data_centre":"dc1","region":"region1","state":"%s"})",
+                                      M.Name, M.Port, M.State));
   this->put("/admin/instances",
             absl::StrFormat(R"({"instances":[%s]})", absl::StrJoin(Instances, ",")));
   this->put(
--- a/tests/cluster.h
+++ b/tests/cluster.h
@@ -41,6 +41,10 @@
   Process &server(size_t I) { return *this->Servers[I].P; }
   uint16_t proxyPort(size_t I) const { return this->Proxies[I].Port; }
   uint16_t serverPort(size_t I) const { return this->Servers[I].Port; }
+  uint16_t httpPort(size_t Proxy) const { return this->Proxies[Proxy].Http; }
+  const std::string &proxyName(size_t I) const { return this->Proxies[I].Name; }
+  const std::string &serverName(size_t I) const { return this->Servers[I].Name; }
+  std::string platformUrl() const;
   size_t proxies() const { return this->Proxies.size(); }
   size_t servers() const { return this->Servers.size(); }
 
@@ -55,6 +59,8 @@
   size_t primary() const;
   // Starts an ended server again on its port and data.
   void restartServer(size_t I);
+  // Marks a server as leaving in the platform's list.
+  void listLeaving(size_t Server);
 
 private:
   struct Member {
@@ -63,6 +69,7 @@
     uint16_t Port = 0;
     uint16_t Link = 0;
     uint16_t Http = 0;
+    const char *State = "live"; // in the platform's list
   };
 
   void startServer(Member &M);
