Exit with 1 when the drain deadline interrupts a request

The exit code was 0: the entry and the pool interrupt what is left at the deadline, have nothing to do afterwards, and the last poll of shutDown() took this for a complete drain.

Change: EntryService::drained() stays false after the deadline has ended a caller that was busy; shutDown() takes the pool as drained only before the deadline. The new test has the caller at the owner, and at the other proxy.

Ruled out: a change of the exit code of a complete drain; the SIGTERM test still ends with 0.

--- a/src/daemon/app.cpp
+++ b/src/daemon/app.cpp
@@ -343,7 +343,8 @@
     bool PoolDrained = false;
     this->EntryLoop.call([&] { EntryDrained = this->Entry->drained(); });
     this->PoolLoop.call([&] { PoolDrained = this->Pool->drained(); });
-    Drained = PoolDraining && EntryDrained && PoolDrained;
+    // At the deadline the pool interrupts what is left, and has nothing to do afterwards.
+    Drained = PoolDraining && EntryDrained && PoolDrained && monotonicNow() < Deadline;
   }
   LogEvent(Drained ? LogLevel::Info : LogLevel::Warn, "drain_finished").kv("complete", Drained);
   this->stopThreads();
--- a/src/session/entry.cpp
+++ b/src/session/entry.cpp
@@ -33,7 +33,7 @@
 void EntryService::beginDrain(Instant Deadline) { this->State->beginDrain(Deadline); }
 
 bool EntryService::drained() const {
-  return this->State->Common.Draining && this->State->Callers.empty();
+  return this->State->Common.Draining && this->State->Callers.empty() && !this->State->Interrupted;
 }
 
 size_t EntryService::callers() const { return this->State->Callers.size(); }
--- a/src/session/entry_impl.cpp
+++ b/src/session/entry_impl.cpp
@@ -52,7 +52,10 @@
   this->closeListener();
   this->driveAll([](Machine &M, Actions &Out) { M.onDrain(Out); });
   this->Timers.push_back(this->InLoop.at(Deadline - DrainMargin, [this] {
-    this->driveAll([](Machine &M, Actions &Out) { M.onDrainDeadline(Out); });
+    this->driveAll([this](Machine &M, Actions &Out) {
+      this->Interrupted = this->Interrupted || !M.closed();
+      M.onDrainDeadline(Out);
+    });
     // Callers that do not read their last bytes are not waited for.
     while (!this->Callers.empty())
       this->removeCaller(this->Callers.begin()->first);
--- a/src/session/entry_impl.h
+++ b/src/session/entry_impl.h
@@ -77,7 +77,8 @@
   std::vector<char> ReadBuffer;
   absl::flat_hash_map<uint32_t, std::unique_ptr<Caller>> Callers; // by session
   absl::flat_hash_map<uint32_t, uint32_t> SessionOfProcess;       // by process id of cancel keys
-  std::vector<TimerId> Timers;                                    // of the listener and the drain
+  bool Interrupted = false;    // the drain deadline has ended a request or a transaction
+  std::vector<TimerId> Timers; // of the listener and the drain
 };
 
 } // namespace toucan::session
--- a/src/session/session.h
+++ b/src/session/session.h
@@ -44,6 +44,7 @@
   // Closes the listening port; callers get 57P01 when they are between requests and outside a
   // transaction; all others at the deadline.
   void beginDrain(Instant Deadline);
+  // True when all callers have ended and none was interrupted by the deadline.
   bool drained() const;
 
   size_t callers() const;
--- a/tests/leaving_test.cpp
+++ b/tests/leaving_test.cpp
@@ -220,6 +220,29 @@
   CHECK(C.client(1 - Proxy).run("select count(*) from kept").value() == "2");
 }
 
+// The owner of the database shuts down while a request of one of its callers, or of a caller of
+// the other proxy, runs over the drain deadline.
+void checkCutShutdown(bool CallerAtOwner) {
+  CAPTURE(CallerAtOwner);
+  Cluster C({.ProxyFlags = {"--drain-timeout-ms=2500"}});
+  C.waitReady();
+  REQUIRE(C.client(0).run("create table kept(id bigint)").ok());
+  size_t Owner = ownerOf(C);
+  REQUIRE(Owner < C.proxies());
+  std::string Primary = C.serverName(C.primary());
+  Client Long = C.client(CallerAtOwner ? Owner : 1 - Owner);
+  REQUIRE(Long.send("insert into kept select sleep_ms(30000)"));
+  CHECK(eventually([&] {
+    auto Row = targetRow(C, Primary);
+    return Row && Row->Executing > 0;
+  }));
+  C.proxy(Owner).signal(SIGTERM);
+  CHECK(C.proxy(Owner).wait() == 1);
+  Answer A = Long.finish();
+  CHECK_FALSE(A.ok());
+  CHECK_FALSE(A.notRun());
+}
+
 } // namespace
 
 // Guards against new work for a target that is taken out of service, and against reads or writes
@@ -241,3 +264,9 @@
   for (size_t Proxy : {0, 1})
     checkShutdown(Proxy);
 }
+
+// Guards against a shutdown that reports success although it interrupted a request.
+TEST_CASE("leaving: a shutdown that interrupts a request at the drain deadline exits with 1") {
+  for (bool CallerAtOwner : {true, false})
+    checkCutShutdown(CallerAtOwner);
+}
