--- a/tests/cluster.cpp
+++ b/tests/cluster.cpp
@@ -123,6 +123,15 @@
   }
 }
 
+std::string Cluster::platformUrl() const {
+  return absl::StrFormat("http://127.0.0.1:%d", this->PlatformPort);
+}
+
+void Cluster::listLeaving(size_t Server) {
+  this->Servers[Server].State = "leaving";
+  this->publish();
+}
+
 void Cluster::restartServer(size_t I) { this->startServer(this->Servers[I]); }
 
 void Cluster::put(const std::string &Path, const std::string &Body) const {
@@ -147,8 +156,8 @@
   std::vector<std::string> Targets;
   for (const Member &M : this->Servers)
     Targets.push_back(absl::StrFormat(R"({"id":"%s","host":"127.0.0.1","port":%d,)"
-                                      R"("data_centre":"dc1","region":"region1","state":"live"})",
-                                      M.Name, shownPort(M.Front, M.Port)));
+                                      R"("data_centre":"dc1","region":"region1","state":"%s"})",
+                                      M.Name, shownPort(M.Front, M.Port), M.State));
   this->put("/admin/instances",
             absl::StrFormat(R"({"instances":[%s]})", absl::StrJoin(Instances, ",")));
   this->put(
--- a/tests/cluster.h
+++ b/tests/cluster.h
@@ -52,6 +52,10 @@
   Process &server(size_t I) { return *this->Servers[I].P; }
   uint16_t proxyPort(size_t I) const { return this->Proxies[I].Port; }
   uint16_t serverPort(size_t I) const { return this->Servers[I].Port; }
+  uint16_t httpPort(size_t Proxy) const { return this->Proxies[Proxy].Http; }
+  const std::string &proxyName(size_t I) const { return this->Proxies[I].Name; }
+  const std::string &serverName(size_t I) const { return this->Servers[I].Name; }
+  std::string platformUrl() const;
   size_t proxies() const { return this->Proxies.size(); }
   size_t servers() const { return this->Servers.size(); }
 
@@ -72,7 +76,6 @@
   // is given.
   void addProxy(uint16_t PlatformAt = 0);
   bool healthy(size_t Proxy) const;
-  std::string proxyName(size_t I) const { return this->Proxies[I].Name; }
 
   // Relays in front of a server, of a proxy's link port, and of the platform for all proxies.
   Relay &serverRelay(size_t I) { return *this->Servers[I].Front; }
@@ -88,6 +91,8 @@
   CtlResult ctl(std::vector<std::string> Arguments) const;
   // Writes a file for toucanctl and returns its path.
   std::string writeFile(const std::string &Name, const std::string &Text) const;
+  // Marks a server as leaving in the platform's list.
+  void listLeaving(size_t Server);
 
 private:
   struct Member {
@@ -97,6 +102,7 @@
     uint16_t Port = 0;
     uint16_t Link = 0;
     uint16_t Http = 0;
+    const char *State = "live"; // in the platform's list
   };
 
   void startServer(Member &M);
