--- a/scripts/measure.sh
+++ b/scripts/measure.sh
@@ -1,14 +1,14 @@
 #!/usr/bin/env bash
 # Measures blocking of short work behind long work, service in a reconnect surge, and the failover
 # gap, with real processes on loopback. Prints one line of key=value pairs a run.
-# Usage: scripts/measure.sh blocking|surge|failover [RUNS]   (default 5 runs)
+# Usage: scripts/measure.sh blocking|surge|failover|split [RUNS]   (default 5 runs)
 set -euo pipefail
 cd "$(dirname "$0")/.."
 what=${1:-}
 runs=${2:-5}
 case "$what" in
-  blocking|surge|failover) ;;
-  *) echo "usage: scripts/measure.sh blocking|surge|failover [RUNS]" >&2; exit 2 ;;
+  blocking|surge|failover|split) ;;
+  *) echo "usage: scripts/measure.sh blocking|surge|failover|split [RUNS]" >&2; exit 2 ;;
 esac
 scripts/build.sh plain toucanrund toucanctl toucan-load standin-db standin-platform
 bin=$PWD/build
@@ -35,6 +35,10 @@
 read  database=orders table=archive max_age=30s  # reconciliation of old years: accounts
 R
   "$bin/toucanctl" rules apply "$work/rules.txt" --base=0 >/dev/null
+  create_tables
+}
+
+create_tables() {
   wait_for "tables" sql 0 orders "create table if not exists ledger(id integer primary key, v text)"
   sql 0 orders "create table if not exists stock(id integer primary key, v text)"
   sql 0 orders "insert into stock values (1, 'kerb 915 mm') on conflict do nothing"
@@ -114,7 +118,49 @@
   done
 }
 
-start_all
-prepare
+# Starts four proxies that do not know each other, each with a share of the connections: every one
+# has a platform of its own that lists only it. A share of 2 slots is rounded up to 1.
+start_split() {
+  local i number place
+  for number in 1 2 3; do start_server orders "$number"; done
+  for i in 0 1 2 3; do
+    start_platform
+    SERVER_SLOTS=1 SERVER_CONNECTIONS=7 publish_groups
+    start_proxy "$i"
+    read -ra place <<<"${places[$((i % 3))]}"
+    curl -sf -X PUT -d "{\"instances\":[{\"id\":\"proxy-$i\",\"link\":\"127.0.0.1:${proxy_link[$i]}\",\"data_centre\":\"${place[0]}\",\"region\":\"${place[1]}\",\"state\":\"live\"}]}" \
+      "$platform_url/admin/instances" >/dev/null
+    wait_for "proxy-$i ready" curl -sf -o /dev/null "http://127.0.0.1:${proxy_http[$i]}/health"
+    printf 'class database=orders table=ledger class=long # reconciliation: accounts\n' >"$work/rules.txt"
+    "$bin/toucanctl" rules apply "$work/rules.txt" --base=0 >/dev/null
+  done
+}
+
+# One owner for the database against a static split of the connections, the same load on both.
+measure_split() {
+  local run at
+  for at in owner split; do
+    stop_all
+    all_pids=() proxy_pid=() proxy_port=() proxy_link=() proxy_http=()
+    rm -rf "$work"/data-*
+    if [ "$at" = owner ]; then start_all; else start_split; fi
+    if [ "$at" = owner ]; then prepare; else create_tables; fi
+    for run in $(seq "$runs"); do
+      for long in 0 3; do
+        echo "measure=split run=$run at=$at long=$long $(load --callers=40 --short-rate=200 \
+          --short-sql='select sleep_ms(5) from stock' --long-callers="$long" \
+          --long-sql='select sleep_ms(2000) from ledger' --duration-ms=6000 --deadline-ms=2000 \
+          --seed="$run" | tr '\n' ' ')"
+      done
+    done
+  done
+}
+
+if [ "$what" = split ]; then
+  start_platform
+else
+  start_all
+  prepare
+fi
 echo "commit=$(git rev-parse --short HEAD) cores=$(nproc) load=$(cut -d' ' -f1 /proc/loadavg)"
 "measure_$what"
--- a/src/session/entry_test.cpp
+++ b/src/session/entry_test.cpp
@@ -204,6 +204,23 @@
 
 } // namespace
 
+// Guards against a start that ends without saying which port is taken.
+TEST_CASE("a caller port that is taken, and a host that is not an IP number, are clear errors") {
+  Loop L;
+  Metrics M;
+  auto Send = [](const InstanceId &, const proto::Envelope &) { return true; };
+  EntryService First(L, {.Self = InstanceId("a")}, Send, M);
+  REQUIRE(capture([&] { return First.listen(); }));
+  EntryService Second(L, {.Self = InstanceId("b"), .ListenPort = First.port()}, Send, M);
+  auto Taken = capture([&] { return Second.listen(); });
+  REQUIRE_FALSE(Taken);
+  CHECK(Taken.Problem.Message.find(std::to_string(First.port())) != std::string::npos);
+  EntryService Third(L, {.Self = InstanceId("c"), .ListenHost = "localhost"}, Send, M);
+  auto NoNumber = capture([&] { return Third.listen(); });
+  REQUIRE_FALSE(NoNumber);
+  CHECK(NoNumber.Problem.Message.find("\"localhost\" is not an IP number") != std::string::npos);
+}
+
 TEST_CASE("a caller connects, queries and leaves") {
   Entry E({}, answerAtOnce);
   {
