Test harness: the flag of a failed check is atomic

Ruled out: a race in the product (both stacks are in tests/process.cpp). Change: std::atomic<bool>, written only on failure. No functional change.

--- a/tests/process.cpp
+++ b/tests/process.cpp
@@ -2,6 +2,7 @@
 
 #include "absl/strings/str_format.h"
 
+#include <atomic>
 #include <doctest/doctest.h>
 #include <fcntl.h>
 #include <signal.h>
@@ -22,7 +23,7 @@
 constexpr std::chrono::milliseconds PollInterval{5};
 constexpr int StartFailed = 127;
 
-bool SomeCheckFailed = false;
+std::atomic<bool> SomeCheckFailed = false; // checks are made by several threads
 
 // Notes failed checks, so that the logs of their test are kept.
 struct FailureListener : doctest::IReporter {
@@ -37,7 +38,8 @@
   void subcase_start(const doctest::SubcaseSignature &) override {}
   void subcase_end() override {}
   void log_assert(const doctest::AssertData &A) override {
-    SomeCheckFailed = SomeCheckFailed || A.m_failed;
+    if (A.m_failed)
+      SomeCheckFailed = true;
   }
   void log_message(const doctest::MessageData &) override {}
   void test_case_skipped(const doctest::TestCaseData &) override {}
