--- a/scripts/summary.sh
+++ b/scripts/summary.sh
@@ -1,6 +1,7 @@
 #!/usr/bin/env bash
 # Turns the lines of scripts/measure.sh (standard input) into a Markdown table: for each case and
-# stream the median and the spread (lowest to highest) over the runs.
+# stream the median (of an even number of runs the lower middle value) and the spread (lowest to
+# highest) over the runs. A column that is zero in every row is left out, except "missing".
 set -euo pipefail
 awk '
 function add(name, value) { n[key, name]++; v[key, name, n[key, name]] = value + 0; names[name] = 1 }
@@ -20,12 +21,13 @@
     if (p[1] == "measure" || p[1] == "long" || p[1] == "factor" || p[1] == "at" || p[1] == "fault") { base = base (base == "" ? "" : " ") $i; key = base; continue }
     if (p[1] == "stream") { key = base " " $i; continue }
     if (!(key in seen)) { seen[key] = 1; keys[++count] = key }
-    if (p[2] + 0 != 0 || p[1] == "missing" || p[1] == "sent") add(p[1], p[2])
+    add(p[1], p[2])
+    if (p[2] + 0 != 0) used[p[1]] = 1
   }
 }
 END {
   columns = split("gap_ms missing sent good late not_run may_have_run failed lost unanswered p50 p99 max refused_p99", want, " ")
-  for (c = 1; c <= columns; c++) if (want[c] in names) shown[++shownCount] = want[c]
+  for (c = 1; c <= columns; c++) if ((want[c] in used) || (want[c] == "missing" && (want[c] in names))) shown[++shownCount] = want[c]
   printf "| case | runs |"
   for (c = 1; c <= shownCount; c++) printf " %s |", shown[c]
   printf "\n| --- | --- |"
