Stand-in: a missing table keeps its SQLSTATE while the schema changes

SQLite returns SQLITE_SCHEMA in place of SQLITE_ERROR when a statement does not compile and another connection changes the schema between its two attempts; the stand-in mapped that code to XX000, so the pool did not create the table (it does so on 42P01, the state that PostgreSQL gives). Ruled out: a lost CREATE TABLE after the change of primary (the id was the first one of its caller, long before the first kill) and the restart bound of KeyedRequest (it ends with the same text, but with 42P01). Change: SQLITE_SCHEMA is mapped by its text, as SQLITE_ERROR is. Conclusion: a fault of the stand-in, not of the proxy.

--- a/standin/db/database.cpp
+++ b/standin/db/database.cpp
@@ -99,6 +99,9 @@
     return "22P02";
   case SQLITE_TOOBIG:
     return "54000";
+  // A statement that does not compile while another connection changes the schema fails with
+  // SQLITE_SCHEMA in place of SQLITE_ERROR, with the same text.
+  case SQLITE_SCHEMA:
   case SQLITE_ERROR:
     break;
   default:
--- a/standin/db/server_test.cpp
+++ b/standin/db/server_test.cpp
@@ -1,8 +1,13 @@
 #include "test_client.h"
 
+#include "absl/strings/str_join.h"
+
 #include <doctest/doctest.h>
 
+#include <atomic>
 #include <fstream>
+#include <set>
+#include <thread>
 
 using namespace toucan;
 using namespace toucan::standin;
@@ -122,6 +127,30 @@
   CHECK(C.run("select 1").Tag == "SELECT 1");
 }
 
+// Guards against a general error for a missing table while another connection changes the schema:
+// SQLite reports both with one code. A proxy that creates a missing table needs the right state.
+TEST_CASE("a missing table has its state during changes of the schema") {
+  Fixture F;
+  constexpr int Readers = 4;
+  std::atomic<bool> Stopping = false;
+  std::vector<std::set<std::string>> States(Readers);
+  std::vector<std::thread> Threads;
+  for (int I = 0; I < Readers; ++I)
+    Threads.emplace_back([&, I] {
+      Client C = F.client();
+      while (!Stopping)
+        States[I].insert(C.run("insert into missing values (1)").State);
+    });
+  Client Changer = F.client();
+  for (int I = 0; I < 500; ++I)
+    CHECK(Changer.run(absl::StrFormat("create table t%d(a integer)", I)).Tag == "CREATE TABLE");
+  Stopping = true;
+  for (std::thread &T : Threads)
+    T.join();
+  for (const std::set<std::string> &Seen : States)
+    CHECK(absl::StrJoin(Seen, " ") == "42P01");
+}
+
 // Guards against statements that run in a failed transaction.
 TEST_CASE("transaction states and savepoints") {
   Fixture F;
