A leaving primary keeps its transactions for up to 5 s

Ruled out: refusing the mark while transactions are open (an operator could not take a target out); holding all new work for them (one idle transaction would block every write for seconds). Change: the pool tells the monitor whether a leaving primary has open transactions or running requests. The change waits for them, 5 s at most. While transactions are open other requests still run there and those that would open a transaction wait; afterwards new work waits for the new primary. Before: "leaving: a transaction that is open on the target finishes" fails with 25P03.

--- a/src/group/change.cpp
+++ b/src/group/change.cpp
@@ -22,6 +22,11 @@
 constexpr absl::Duration CaughtUpAge = absl::Seconds(1);    // largest lag when a primary leaves
 constexpr absl::Duration LeavingPause = absl::Seconds(2);   // between changes for leaving targets
 
+// How long a leaving primary is kept for the requests that it has: for its transactions and running
+// requests, and for the pool's first report of them.
+constexpr absl::Duration RequestsWait = absl::Seconds(5);
+constexpr absl::Duration ReportWait = absl::Milliseconds(100);
+
 constexpr std::string_view CauseRefused = "refused";
 constexpr std::string_view CauseUnreachable = "unreachable";
 constexpr std::string_view CauseNoPrimary = "no_primary";
@@ -55,6 +60,26 @@
     this->considerMissing(Now);
 }
 
+// Notes since when the present primary has been leaving.
+void Monitor::noteLeaving(Instant Now) {
+  std::optional<size_t> P = this->primary();
+  bool Leaving = P && this->Servers[*P].Def.Leaving;
+  TargetId Id = Leaving ? this->Servers[*P].Def.Id : TargetId();
+  if (Id == this->LeavingPrimary)
+    return;
+  this->LeavingPrimary = Id;
+  this->LeavingSince = Leaving ? Now : absl::InfinitePast();
+}
+
+Instant Monitor::leavingDeadline() const {
+  return this->LeavingSince + (this->Use == PrimaryUse::None ? ReportWait : RequestsWait);
+}
+
+// Decides whether a leaving primary is kept a little longer for the requests that it has.
+bool Monitor::awaitsRequests(Instant Now) const {
+  return !this->LeavingPrimary.Value.empty() && Now < this->leavingDeadline();
+}
+
 // The primary answers: it is replaced only when it leaves, or when a minority has accepted a
 // later term and would otherwise stay out of the group.
 void Monitor::considerHealthy(size_t Primary, Instant Now) {
@@ -66,7 +91,7 @@
     this->startAttempt(CauseTermAhead, std::vector<bool>(this->Servers.size(), true), Now);
     return;
   }
-  if (!P.Def.Leaving || Ahead)
+  if (!P.Def.Leaving || Ahead || this->awaitsRequests(Now))
     return;
   std::vector<bool> Staying(this->Servers.size());
   for (size_t I = 0; I < this->Servers.size(); ++I) {
--- a/src/group/group.h
+++ b/src/group/group.h
@@ -40,6 +40,8 @@
   // that.
   void keep(const DatabaseName &Database, bool InUse) override;
 
+  void usePrimary(const DatabaseName &Database, PrimaryUse Use) override;
+
   const GroupState *state(const DatabaseName &Database) const override;
   void confirm(const DatabaseName &Database, LogPosition At, Instant Deadline,
                std::function<void(ConfirmResult)> Then) override;
--- a/src/group/monitor.cpp
+++ b/src/group/monitor.cpp
@@ -25,6 +25,7 @@
            X.CurrentAt == Y.CurrentAt;
   };
   return A.Current == B.Current && A.Primary == B.Primary &&
+         A.AwaitsTransactions == B.AwaitsTransactions &&
          std::equal(A.Servers.begin(), A.Servers.end(), B.Servers.begin(), B.Servers.end(), Same);
 }
 
@@ -96,6 +97,11 @@
   return this->advance(Now);
 }
 
+Actions Monitor::usePrimary(PrimaryUse NewUse, Instant Now) {
+  this->Use = NewUse;
+  return this->advance(Now);
+}
+
 Actions Monitor::onTimer(Instant Now) { return this->advance(Now); }
 
 bool Monitor::awaits(const TargetId &Id, Lane On, uint64_t CallId) const {
@@ -166,6 +172,7 @@
     this->TermSeenAt = Now;
     this->TakeoverAt = Now + this->jittered(this->Options.ProbeInterval);
   }
+  this->noteLeaving(Now);
   this->considerChange(Now);
   this->driveAttempt(Now);
   this->repair(Now);
@@ -173,7 +180,7 @@
   this->startWaits(Now);
   this->endTickets(Now);
   this->updateFreshness();
-  this->publish();
+  this->publish(Now);
   return std::exchange(this->Out, {});
 }
 
@@ -303,13 +310,15 @@
 }
 
 // While an attempt of this daemon runs, no server is published as primary.
-void Monitor::publish() {
+void Monitor::publish(Instant Now) {
   GroupState New;
   New.Database = this->Config.Database;
   std::optional<size_t> P = this->primary();
   New.Current = P ? this->Servers[*P].Row->Accepted : this->Published.Current;
   if (P && !this->Change)
     New.Primary = this->Servers[*P].Def.Id;
+  New.AwaitsTransactions =
+      New.Primary && this->Use == PrimaryUse::Transactions && this->awaitsRequests(Now);
   for (const Server &S : this->Servers) {
     ServerState &State = New.Servers.emplace_back();
     State.Id = S.Def.Id;
@@ -344,6 +353,7 @@
   Consider(this->Reads.nextDeadline());
   Consider(this->NextAttemptAt);
   Consider(this->TakeoverAt);
+  Consider(this->leavingDeadline());
   if (this->Question)
     Consider(this->Question->Deadline);
   if (this->Change)
--- a/src/group/monitor.h
+++ b/src/group/monitor.h
@@ -100,6 +100,7 @@
   Actions onPeerProbe(uint64_t ProbeId, bool Reachable, Term Accepted, Instant Now);
   Actions confirm(uint64_t Ticket, LogPosition At, Instant Deadline, Instant Now);
   Actions verify(uint64_t Ticket, Instant Deadline, Instant Now);
+  Actions usePrimary(PrimaryUse Use, Instant Now);
   // Must be called at nextTimer().
   Actions onTimer(Instant Now);
 
@@ -173,11 +174,14 @@
   void startWaits(Instant Now);
   void endTickets(Instant Now);
   void updateFreshness();
-  void publish();
+  void publish(Instant Now);
 
   // Change of primary (change.cpp).
   void considerChange(Instant Now);
   void considerHealthy(size_t Primary, Instant Now);
+  void noteLeaving(Instant Now);
+  Instant leavingDeadline() const;
+  bool awaitsRequests(Instant Now) const;
   void considerMissing(Instant Now);
   void confirmSuspicion(size_t Target, Term InTerm, Instant Now);
   void startAttempt(std::string_view Cause, std::vector<bool> Asked, Instant Now);
@@ -206,6 +210,9 @@
   Term LastAttempted;
   int Failures = 0; // abandoned attempts in a row
   Instant NextAttemptAt = absl::InfinitePast();
+  PrimaryUse Use = PrimaryUse::None;
+  TargetId LeavingPrimary; // empty: the primary does not leave
+  Instant LeavingSince = absl::InfinitePast();
   std::optional<Asking> Question;
   std::optional<Running> Change;
   std::optional<Settling> Finishing;
--- a/src/group/monitor_test.cpp
+++ b/src/group/monitor_test.cpp
@@ -224,6 +224,37 @@
 }
 
 // Guards against a watcher that changes anything: only the owner may.
+// Guards against a transaction that is rolled back by a change that could have waited, and against
+// a transaction that keeps a leaving primary in its place.
+TEST_CASE("a leaving primary keeps its transactions for a while") {
+  Simulation S(3);
+  Simulation::Daemon &D = S.add(S.config(true));
+  S.run(absl::Seconds(1));
+  MonitorConfig Leaving = S.config(true);
+  Leaving.Servers[0].Leaving = true;
+  S.perform(D, D.Machine.configure(Leaving, S.Now));
+  S.perform(D, D.Machine.usePrimary(PrimaryUse::Transactions, S.Now));
+  CHECK(D.Machine.state().AwaitsTransactions);
+  SUBCASE("until they have ended") {
+    S.run(absl::Seconds(4));
+    CHECK(primaryOf(D) == 0);
+    S.perform(D, D.Machine.usePrimary(PrimaryUse::Requests, S.Now));
+    CHECK_FALSE(D.Machine.state().AwaitsTransactions);
+    S.run(absl::Milliseconds(500));
+    CHECK(primaryOf(D) == 0);
+    S.perform(D, D.Machine.usePrimary(PrimaryUse::None, S.Now));
+    S.run(absl::Seconds(1));
+  }
+  SUBCASE("for 5 s at most") {
+    S.run(absl::Milliseconds(4500));
+    CHECK(primaryOf(D) == 0);
+    S.run(absl::Milliseconds(1500));
+  }
+  CHECK_FALSE(D.Machine.state().AwaitsTransactions);
+  CHECK(primaryOf(D) == 1);
+  CHECK(D.Steps.back().Cause == "leaving");
+}
+
 TEST_CASE("a daemon that does not own the database only reads") {
   Simulation S(3);
   Simulation::Daemon &D = S.add(S.config(false));
--- a/src/group/service.cpp
+++ b/src/group/service.cpp
@@ -386,6 +386,11 @@
   this->State->update(Database);
 }
 
+void GroupService::usePrimary(const DatabaseName &Database, PrimaryUse Use) {
+  this->State->run(Database,
+                   [&](Monitor &M) { return M.usePrimary(Use, this->State->InLoop.now()); });
+}
+
 const GroupState *GroupService::state(const DatabaseName &Database) const {
   const Impl::Watched *W = this->State->find(Database);
   return W ? &W->Machine.state() : nullptr;
--- a/src/group/watcher.h
+++ b/src/group/watcher.h
@@ -31,9 +31,19 @@
   DatabaseName Database;
   Term Current;                    // term of the primary
   std::optional<TargetId> Primary; // empty while no primary is confirmed
+  // The primary is leaving, but transactions that are open on it may finish first. Until then it
+  // takes other requests, but no new transactions.
+  bool AwaitsTransactions = false;
   std::vector<ServerState> Servers;
 };
 
+// What the requests of a pool do at the primary. Matters when the primary leaves.
+enum class PrimaryUse : uint8_t {
+  None,
+  Requests,     // requests outside transactions run there
+  Transactions, // transactions are open there
+};
+
 enum class ConfirmResult : uint8_t { Confirmed, TermChanged, Deadline };
 
 // Implemented by GroupService; tests of the pool use a fake. All calls and callbacks happen in the
@@ -46,6 +56,10 @@
   // while the instances disagree on its owner; or ends that.
   virtual void keep(const DatabaseName &, bool) {}
 
+  // Tells what the pool's requests do at the primary of a database. Called on each change while the
+  // primary is leaving.
+  virtual void usePrimary(const DatabaseName &, PrimaryUse) {}
+
   // Null when the database is not watched. Valid until the next event.
   virtual const GroupState *state(const DatabaseName &Database) const = 0;
 
--- a/src/pool/choose.cpp
+++ b/src/pool/choose.cpp
@@ -58,10 +58,12 @@
 // Decides whether a target may get work outside the transactions that it has.
 bool Dispatcher::takesNewWork(const TargetId &Id, const TargetSlots &T) const {
   const group::ServerState *S = this->server(Id);
-  if (!T.Listed || T.State != TargetState::Active || !S || !S->Reachable)
+  if (!T.Listed || !S || !S->Reachable)
     return false;
   if (this->State->Primary == Id)
-    return true;
+    return T.State == TargetState::Active || this->State->AwaitsTransactions;
+  if (T.State != TargetState::Active)
+    return false;
   return S->Is == group::Role::Replica && S->Accepted == this->State->Current;
 }
 
--- a/src/pool/connections.cpp
+++ b/src/pool/connections.cpp
@@ -146,6 +146,7 @@
     return;
   D->CurrentTerm = S.Current;
   D->Primary = S.Primary;
+  D->AwaitsTransactions = S.AwaitsTransactions;
   D->Dispatch.setState(&S);
   std::vector<Connection *> OfOldTerm;
   std::vector<Connection *> Unreachable;
--- a/src/pool/execute.cpp
+++ b/src/pool/execute.cpp
@@ -32,6 +32,7 @@
     }
   }
   D.Pumping = false;
+  this->reportUse(D);
   this->InLoop.cancel(D.Wake);
   Instant Wake = D.Dispatch.wakeAt(this->InLoop.now());
   if (Wake != absl::InfiniteFuture())
--- a/src/pool/pool.cpp
+++ b/src/pool/pool.cpp
@@ -12,6 +12,7 @@
 constexpr absl::Duration MaintenanceInterval = absl::Seconds(1);
 // Pause before the primary's position is asked for again after a failure, e.g. during a change of
 // primary.
+constexpr absl::Duration HoldPause = absl::Milliseconds(20); // between two looks at a held request
 constexpr absl::Duration VerifyPause = absl::Milliseconds(100);
 // How long a target may take to answer after a cancel before the connection is closed.
 constexpr absl::Duration AbandonGrace = absl::Seconds(1);
@@ -250,7 +251,52 @@
   return T;
 }
 
+// Keeps a request that would open a transaction on a primary that is leaving until the change of
+// primary, which waits for the transactions that are open already.
+void PoolService::Impl::hold(Request &R) {
+  R.At = Stage::Held;
+  Instant Again = this->InLoop.now() + HoldPause;
+  if (Again >= R.Deadline) {
+    this->fail(R, Reason::QueueDeadline, Verdict::NotRun);
+    return;
+  }
+  R.Timer = this->InLoop.at(Again, [this, Id = R.Id] {
+    if (Request *R = this->find(Id))
+      this->enqueue(*R);
+  });
+}
+
+group::PrimaryUse PoolService::Impl::primaryUse(const DatabaseState &D) const {
+  if (!D.Primary || !D.Dispatch.leaving(*D.Primary))
+    return group::PrimaryUse::None;
+  auto Open = [&](const auto &Item) {
+    const ConnectionOptions &Where = Item.second.On->options();
+    return Where.Database == D.Group.Name && Where.Target == *D.Primary;
+  };
+  if (std::any_of(this->Leases.begin(), this->Leases.end(), Open))
+    return group::PrimaryUse::Transactions;
+  bool Running = std::any_of(this->Requests.begin(), this->Requests.end(), [&](const auto &Item) {
+    const Request &R = *Item.second;
+    return R.Database == &D && R.Target == *D.Primary && (R.On || R.At == Stage::Confirming);
+  });
+  return Running ? group::PrimaryUse::Requests : group::PrimaryUse::None;
+}
+
+// Tells the watcher what a leaving primary is still needed for.
+void PoolService::Impl::reportUse(DatabaseState &D) {
+  group::PrimaryUse Use = this->primaryUse(D);
+  if (Use == D.Reported)
+    return;
+  D.Reported = Use;
+  this->Groups.usePrimary(D.Group.Name, Use);
+}
+
 void PoolService::Impl::enqueue(Request &R) {
+  if (R.Database->AwaitsTransactions && R.Exec.kind() == proto::TRANSACTION &&
+      R.Exec.lease() == 0) {
+    this->hold(R);
+    return;
+  }
   if (R.Exec.lease() != 0) {
     auto It = this->Leases.find(LeaseId(R.Exec.lease()));
     this->InLoop.cancel(It->second.Timer);
@@ -338,6 +384,13 @@
   auto It = this->Leases.find(LeaseId(R.Exec.lease()));
   if (It != this->Leases.end() && It->second.On->Request == R.Id)
     this->waitInLease(It->second);
+  // The watcher may wait for this request. It is told later, since it may change the primary at
+  // once.
+  if (R.Database->Reported != group::PrimaryUse::None)
+    this->InLoop.post([Weak = std::weak_ptr(this->Alive), D = R.Database] {
+      if (auto Self = Weak.lock())
+        (*Self)->reportUse(*D);
+    });
   this->Requests.erase(R.Id);
 }
 
@@ -377,6 +430,7 @@
     R->Database->Dispatch.remove(R->Id);
     [[fallthrough]];
   case Stage::Verifying:
+  case Stage::Held:
     this->fail(*R, Reason::Canceled, Verdict::NotRun);
     return;
   case Stage::Running:
--- a/src/pool/pool_test.cpp
+++ b/src/pool/pool_test.cpp
@@ -29,9 +29,13 @@
   std::vector<LogPosition> Asked;
   std::vector<std::function<void(group::ConfirmResult)>> Pending; // when Delay is set
   bool Delay = false;
+  std::vector<group::PrimaryUse> Uses;
   std::vector<std::optional<LogPosition>> Verified; // answers of verify(), first one first
 
   const group::GroupState *state(const DatabaseName &) const override { return &this->Group; }
+  void usePrimary(const DatabaseName &, group::PrimaryUse Use) override {
+    this->Uses.push_back(Use);
+  }
   void confirm(const DatabaseName &, LogPosition At, Instant,
                std::function<void(group::ConfirmResult)> Then) override {
     this->Asked.push_back(At);
@@ -66,7 +70,7 @@
       FakeTarget::Handler OnReplica = [](auto &, int, const auto &) { return answer("SELECT 0"); })
       : Primary(InLoop, std::move(OnPrimary)), Replica(InLoop, std::move(OnReplica)),
         Watch(std::make_unique<FakeWatcher>()) {
-    auto V = std::make_shared<member::View>();
+    this->V = std::make_shared<member::View>();
     V->RulesKnown = true;
     V->Groups.push_back(
         {.Name = DatabaseName("db"),
@@ -171,6 +175,7 @@
   }
 
   Loop InLoop;
+  std::shared_ptr<member::View> V;
   FakeTarget Primary;
   FakeTarget Replica;
   std::unique_ptr<FakeWatcher> Watch;
@@ -383,6 +388,32 @@
   T.in([&] { CHECK(T.Primary.Queries.size() == 2); });
 }
 
+// Guards against new transactions on a primary that is kept only for those that it has, and against
+// other requests that wait for these.
+TEST_CASE("a leaving primary gets requests but no new transactions while one is open") {
+  Rig T(byText);
+  proto::Done D = T.run(1, proto::TRANSACTION, "begin");
+  T.in([&] {
+    T.V->Groups[0].Targets[0].Status = rules::TargetState::Leaving;
+    T.Pool->onView(T.V);
+    CHECK(T.Watch->Uses == std::vector{group::PrimaryUse::Transactions});
+    T.Watch->Group.AwaitsTransactions = true;
+    T.Pool->onGroup(T.Watch->Group);
+  });
+  T.exec(2, proto::TRANSACTION, "begin");
+  CHECK(T.run(3, proto::WRITE, "insert").verdict() == proto::RAN);
+  CHECK(T.run(4, proto::TRANSACTION, "commit", D.lease()).tx_status() == 'I');
+  CHECK(T.until([&] { return T.Watch->Uses.back() == group::PrimaryUse::None; }));
+  T.in([&] {
+    CHECK(!T.Dones.contains(2));
+    T.Watch->Group.AwaitsTransactions = false;
+    T.V->Groups[0].Targets[0].Status = rules::TargetState::Active;
+    T.Pool->onView(T.V);
+    T.Pool->onGroup(T.Watch->Group);
+  });
+  CHECK(T.done(2).tx_status() == 'T');
+}
+
 // Guards against work on connections of a fenced primary.
 TEST_CASE("a change of term closes the connections of the old term") {
   Rig T(byText);
--- a/src/pool/service.h
+++ b/src/pool/service.h
@@ -21,6 +21,7 @@
 
 enum class Stage : uint8_t {
   Verifying,  // waits for the primary's confirmed position
+  Held,       // would open a transaction on a primary that is leaving
   Queued,     // waits in the dispatcher
   Running,    // has a connection
   Confirming, // the answer is whole, the connection is free
@@ -87,7 +88,9 @@
   std::vector<Connection *> Idle; // the most recently used last
   LogPosition Confirmed;          // highest position that a majority is known to have
   Instant LastRequest = absl::InfinitePast();
-  bool Kept = false; // the watcher was told that the database is in use
+  bool Kept = false;               // the watcher was told that the database is in use
+  bool AwaitsTransactions = false; // see GroupState
+  group::PrimaryUse Reported = group::PrimaryUse::None; // what the watcher was told last
   TimerId Wake;
   bool Pumping = false;
   bool PumpAgain = false;
@@ -116,6 +119,9 @@
   void verify(Request &R);
   void onVerified(TicketId Id, std::optional<LogPosition> Floor);
   void enqueue(Request &R);
+  void hold(Request &R);
+  group::PrimaryUse primaryUse(const DatabaseState &D) const;
+  void reportUse(DatabaseState &D);
   Ticket ticketOf(const Request &R) const;
   void countRefusal(Reason Why);
   // Sends a refusal of a request that is not known yet.
