Bench: cost of raw frames against libpq's results

Ruled out: whole results (PQgetResult without single-row mode) as the comparison: they cannot be streamed. Change: toucan-target-cost and scripts/slopes.sh targets. No functional change.

--- a/scripts/slopes.sh
+++ b/scripts/slopes.sh
@@ -1,15 +1,15 @@
 #!/usr/bin/env bash
 # Measures the slopes behind docs/CAPACITY.md with real processes on loopback. Prints one line of
 # key=value pairs a measurement; CPU times are user and system time of the process.
-# Usage: scripts/slopes.sh callers|statements|peers|servers
+# Usage: scripts/slopes.sh callers|statements|peers|servers|targets
 set -euo pipefail
 cd "$(dirname "$0")/.."
 what=${1:-}
 case "$what" in
-  callers|statements|peers|servers) ;;
-  *) echo "usage: scripts/slopes.sh callers|statements|peers|servers" >&2; exit 2 ;;
+  callers|statements|peers|servers|targets) ;;
+  *) echo "usage: scripts/slopes.sh callers|statements|peers|servers|targets" >&2; exit 2 ;;
 esac
-scripts/build.sh plain toucanrund toucanctl toucan-load standin-db standin-platform
+scripts/build.sh plain toucanrund toucanctl toucan-load toucan-target-cost standin-db standin-platform
 bin=$PWD/build
 work=$(mktemp -d)
 databases=(orders)
@@ -71,6 +71,15 @@
   echo "measure=statements path=direct $result"
 }
 
+# CPU of relaying an answer of a target: raw frames, and frames built anew from libpq's results.
+measure_targets() {
+  start_some 1
+  primary=$("$bin/toucanctl" targets | awk '$1 == "orders" && /primary/ {print $2; exit}')
+  for run in 1 2 3 4 5; do
+    "$bin/toucan-target-cost" --port="${server_port[$primary]}" | sed "s/^/measure=targets run=$run /"
+  done
+}
+
 # Control traffic and CPU of one daemon by the number of daemons, without databases.
 measure_peers() {
   local count s0 r0 c0 seconds=10
