Link: both ends declare the same loss

Cause: with a silent link each end measures silence by itself. One end declared the loss, sent its read again over a new connection, and the other end, which had not noticed yet, sent the answer into the dead one. Change: each message carries the number of losses of the link. A higher number makes the receiver declare the loss before it handles the message; late messages of requests with a lower one are dropped, and their sender is told by a ping.

--- a/src/link/link.cpp
+++ b/src/link/link.cpp
@@ -14,9 +14,17 @@
 constexpr int IoThreads = 1;
 // A peer that was sent nothing for this long is not pinged any more.
 constexpr absl::Duration PingAfterUse = absl::Seconds(10);
+// Pause between two messages that tell a peer of a loss that it has not noticed.
+constexpr absl::Duration TellPause = absl::Milliseconds(100);
 // Messages handled before the loop serves its other descriptors.
 constexpr int MaxMessagesPerRound = 256;
 
+// Messages of a request. The sender has given the request up when it has declared the link lost.
+bool ofRequest(const proto::Envelope &M) {
+  return M.has_exec() || M.has_chunk() || M.has_done() || M.has_credit() || M.has_cancel() ||
+         M.has_release();
+}
+
 } // namespace
 
 struct LinkService::Impl {
@@ -26,6 +34,8 @@
     Instant LastSent = absl::InfinitePast(); // of requests, replies and rules
     Instant LastUsed = absl::InfinitePast(); // of any message
     bool Heard = false;                      // it knows this instance
+    uint32_t Epoch = 0;                      // losses that both ends know of, or will be told of
+    Instant ToldAt = absl::InfinitePast();   // of the epoch, because of a late message
     // Silence is measured from here: the first message after a pause, or the last one heard.
     Instant SilentSince = absl::InfiniteFuture();
   };
@@ -55,6 +65,7 @@
   void ping(Peer &P);
   void connect(Peer &P);
   void drop(const InstanceId &Id, std::string_view Cause);
+  bool late(const InstanceId &From, Peer &P, const proto::Envelope &Message);
   void pingPeers();
   void schedulePing();
 };
@@ -124,6 +135,8 @@
   if (It != this->Peers.end()) {
     It->second.Heard = true;
     It->second.SilentSince = absl::InfiniteFuture();
+    if (this->late(From, It->second, Message))
+      return;
   }
   if (Message.has_ping()) {
     proto::Envelope Answer;
@@ -136,6 +149,28 @@
   this->Handlers.OnMessage(From, std::move(Message));
 }
 
+// Compares the epoch of a message. A higher one tells of a loss that this end has not noticed: what
+// it has sent since then went into a dead connection. True for a message that must not be
+// delivered, because its sender or this end has given its request up.
+bool LinkService::Impl::late(const InstanceId &From, Peer &P, const proto::Envelope &Message) {
+  bool SameProcess = P.Address.Incarnation == 0 || P.Address.Incarnation == Message.incarnation();
+  if (!SameProcess || Message.link_epoch() == P.Epoch)
+    return false;
+  if (Message.link_epoch() > P.Epoch) {
+    P.Epoch = Message.link_epoch();
+    this->drop(From, "noticed by the peer");
+    return false;
+  }
+  if (!ofRequest(Message))
+    return false;
+  this->Counters.add("link_late_messages_total");
+  if (P.ToldAt + TellPause <= this->InLoop.now()) {
+    P.ToldAt = this->InLoop.now();
+    this->ping(P);
+  }
+  return true;
+}
+
 void LinkService::Impl::reply(const std::string &RoutingId, const proto::Envelope &Message) {
   zmq::message_t Id(RoutingId.data(), RoutingId.size());
   std::string Bytes = Message.SerializeAsString();
@@ -174,6 +209,7 @@
   P.LastUsed = this->InLoop.now();
   Message.set_from(this->Options.Self.Value);
   Message.set_incarnation(this->Options.Incarnation);
+  Message.set_link_epoch(P.Epoch);
   std::string Bytes = Message.SerializeAsString();
   bool Sent = false;
   try {
@@ -238,8 +274,10 @@
       continue;
     this->ping(P);
   }
-  for (const InstanceId &Id : Lost)
+  for (const InstanceId &Id : Lost) {
+    ++this->Peers.at(Id).Epoch;
     this->drop(Id, "silent");
+  }
   int64_t Open = 0;
   for (const auto &[Id, P] : this->Peers)
     Open += P.Dealer ? 1 : 0;
--- a/src/link/link.h
+++ b/src/link/link.h
@@ -43,7 +43,9 @@
 
 // One ROUTER socket receives from everybody; one DEALER socket for each peer only sends. When a
 // peer is lost its DEALER is closed with the messages still queued in it, so that nothing is
-// delivered after the sender has given the request up. All calls happen in the link loop.
+// delivered after the sender has given the request up. Each message carries the number of losses of
+// the link, so that the other end declares the same loss before it handles the first message of the
+// next connection, and drops late messages of the last one. All calls happen in the link loop.
 class LinkService {
 public:
   LinkService(Loop &InLoop, LinkOptions Options, LinkHandlers Handlers, Metrics &Counters);
--- a/src/link/link_test.cpp
+++ b/src/link/link_test.cpp
@@ -1,7 +1,12 @@
 #include "link/link.h"
 
+#include "absl/strings/str_format.h"
+#include "absl/strings/str_join.h"
+
 #include <doctest/doctest.h>
+#include <zmq.hpp>
 
+#include <algorithm>
 #include <optional>
 #include <vector>
 
@@ -163,6 +168,61 @@
   CHECK(A.Lost.empty());
 }
 
+// Guards against an answer that is sent into a silent connection: its sender has not noticed the
+// loss, and the other end waits for the answer until the deadline of the request.
+TEST_CASE("both ends of a link agree on its loss") {
+  Loop L;
+  std::vector<std::string> Events;
+  size_t Losses = 0;
+  std::optional<End> B;
+  B.emplace(L, "b", [&] {
+    bool Loss = B->Lost.size() > Losses;
+    Losses = B->Lost.size();
+    Events.push_back(Loss ? "lost" : absl::StrFormat("%d", B->Received.back().exec().request_id()));
+  });
+  REQUIRE(capture([&] { return B->Service.bind(); }));
+  zmq::context_t Context;
+  zmq::socket_t In(Context, zmq::socket_type::router);
+  In.bind("tcp://127.0.0.1:*");
+  zmq::socket_t Out(Context, zmq::socket_type::dealer);
+  Out.connect("tcp://" + address(*B));
+  std::string Endpoint = In.get(zmq::sockopt::last_endpoint).substr(6);
+  B->Service.setPeers({{InstanceId("a"), {.Endpoint = Endpoint, .Incarnation = 1}}});
+  auto Send = [&](uint64_t Id, uint32_t Epoch) {
+    proto::Envelope M;
+    M.set_from("a");
+    M.set_incarnation(1);
+    M.set_link_epoch(Epoch);
+    M.mutable_exec()->set_request_id(Id);
+    std::string Bytes = M.SerializeAsString();
+    Out.send(zmq::buffer(Bytes), zmq::send_flags::none);
+  };
+  Send(1, 0);
+  Send(2, 1); // a has noticed a loss and uses a new connection
+  Send(3, 0); // late, from the old connection
+  Send(4, 1);
+  // The epoch of what b sends, until it is the new one.
+  uint32_t Epoch = 0;
+  std::function<void()> Poll = [&] {
+    zmq::message_t Id;
+    zmq::message_t Body;
+    proto::Envelope M;
+    while (In.recv(Id, zmq::recv_flags::dontwait)) {
+      [[maybe_unused]] auto Size = In.recv(Body);
+      if (M.ParseFromArray(Body.data(), static_cast<int>(Body.size())))
+        Epoch = std::max(Epoch, M.link_epoch());
+    }
+    if (Epoch == 1 && Events.size() == 4)
+      L.stop();
+    L.at(L.now() + absl::Milliseconds(20), Poll);
+  };
+  Poll();
+  L.at(monotonicNow() + TestLimit, [&] { L.stop(); });
+  L.run();
+  CHECK(Epoch == 1);
+  CHECK(absl::StrJoin(Events, " ") == "1 lost 2 4");
+}
+
 TEST_CASE("a restart of a peer is a loss of its link") {
   Loop L;
   End A(L, "a", [] {});
--- a/src/pool/pool.cpp
+++ b/src/pool/pool.cpp
@@ -400,17 +400,6 @@
   this->erase(R);
 }
 
-// A request that waits has not run; one that has been given to a target may have run.
-void PoolService::Impl::endUnfinished(Request &R, const EndReasons &Why) {
-  if (R.At == Stage::Running || R.At == Stage::Confirming) {
-    this->fail(R, Why.Started, Verdict::MayHaveRun, Why.Detail);
-    return;
-  }
-  if (R.At == Stage::Queued)
-    R.Database->Dispatch.remove(R.Id);
-  this->fail(R, Why.Waiting, Verdict::NotRun);
-}
-
 void PoolService::Impl::onCredit(const InstanceId &From, const proto::Credit &Message) {
   Request *R = this->find(From, Message.request_id());
   if (!R || !R->Reply)
@@ -444,9 +433,6 @@
   }
 }
 
-// Ends the requests and leases of a peer. The two ends of a silent link declare its loss up to 3 s
-// apart, so a request may have come over the next connection already: each one gets an answer,
-// which is dropped when the peer is really gone.
 void PoolService::Impl::onPeerLost(const InstanceId &Peer) {
   std::vector<TicketId> Lost;
   for (auto &[Id, R] : this->Requests)
@@ -454,7 +440,7 @@
       Lost.push_back(Id);
   for (TicketId Id : Lost)
     if (Request *R = this->find(Id))
-      this->endUnfinished(*R, {.Waiting = Reason::LinkLost, .Started = Reason::LinkLost});
+      this->abandon(*R);
   std::vector<LeaseId> Ended;
   for (auto &[Id, L] : this->Leases)
     if (L.Holder == Peer)
@@ -481,11 +467,18 @@
   for (auto &[Id, R] : this->Requests)
     if (!R->Abandoned)
       Left.push_back(Id);
-  for (TicketId Id : Left)
-    if (Request *R = this->find(Id))
-      this->endUnfinished(
-          *R,
-          {.Waiting = Reason::Draining, .Started = Reason::RequestDeadline, .Detail = "shutdown"});
+  for (TicketId Id : Left) {
+    Request *R = this->find(Id);
+    if (!R)
+      continue;
+    if (R->At == Stage::Running || R->At == Stage::Confirming) {
+      this->fail(*R, Reason::RequestDeadline, Verdict::MayHaveRun, "shutdown");
+      continue;
+    }
+    if (R->At == Stage::Queued)
+      R->Database->Dispatch.remove(Id);
+    this->fail(*R, Reason::Draining, Verdict::NotRun);
+  }
   while (!this->Leases.empty())
     this->endLease(this->Leases.begin()->first);
 }
--- a/src/pool/pool_test.cpp
+++ b/src/pool/pool_test.cpp
@@ -353,25 +353,10 @@
   T.in([&] {
     CHECK(T.Frames[2] == row() + wire::commandComplete("next"));
     CHECK(T.Frames[1].empty());
-    CHECK(is(T.Dones[1], proto::MAY_HAVE_RUN, Reason::LinkLost));
+    CHECK(!T.Dones.contains(1));
   });
 }
 
-// Guards against a caller that waits until its deadline: the two ends of a silent link declare its
-// loss at different times, and a request that arrives in between belongs to the new connection.
-TEST_CASE("requests of a lost peer are answered, since the peer may be back already") {
-  Rig T(byText);
-  for (uint64_t Id : {1, 2, 3})
-    T.exec(Id, proto::WRITE, "hang");
-  CHECK(T.until([&] { return T.Primary.Queries.size() == 2; }));
-  T.in([&] { T.Pool->onPeerLost(InstanceId("entry")); });
-  CHECK(is(T.done(1), proto::MAY_HAVE_RUN, Reason::LinkLost));
-  CHECK(is(T.done(2), proto::MAY_HAVE_RUN, Reason::LinkLost));
-  CHECK(is(T.done(3), proto::NOT_RUN, Reason::LinkLost));
-  CHECK(T.until([&] { return T.Primary.Cancels.size() == 2; }));
-  T.in([&] { CHECK(T.Primary.Queries.size() == 2); });
-}
-
 // Guards against a cancelled request that runs later, and a cancel that is not passed on.
 TEST_CASE("cancel of queued and running requests") {
   Rig T(byText);
--- a/src/pool/service.h
+++ b/src/pool/service.h
@@ -61,13 +61,6 @@
   }
 };
 
-// Why a request ends without its answer, by whether a target had it.
-struct EndReasons {
-  Reason Waiting = Reason::None;
-  Reason Started = Reason::None;
-  std::string Detail; // with Started
-};
-
 // A target connection pinned by an open transaction.
 struct Lease {
   LeaseId Id;
@@ -131,8 +124,7 @@
   void fail(Request &R, Reason Why, Verdict Outcome, std::string Detail = "",
             absl::Duration RetryAfter = absl::ZeroDuration());
   void erase(Request &R);
-  void endUnfinished(Request &R, const EndReasons &Why);
-  // Ends a request whose sender has restarted, without a Done.
+  // Ends a request whose caller is gone, without a Done.
   void abandon(Request &R);
   void describeLease(uint64_t Id, const InstanceId &Holder, proto::Done &D) const;
   void maintain();
