Session: a SET in a transaction is undone by its ROLLBACK

Ruled out: sending the SET to the target as well (the target connection is shared, the value would stay there). Change: the session keeps the settings from before the first change of a transaction, and restores them when the transaction ends by ROLLBACK, by the COMMIT of a failed one, or by its loss; a changed application_name is reported. Before: golden session set_in_transaction.txt fails. After: 24 of 24 session tests.

--- a/src/session/local.cpp
+++ b/src/session/local.cpp
@@ -5,6 +5,7 @@
 #include "absl/strings/str_format.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace toucan::session {
 
@@ -105,7 +106,14 @@
   return Report.empty() ? "" : wire::parameterStatus(Report, *Settings.get(Name));
 }
 
+// Called before each change of the settings.
+void keepSettings(SessionState &State) {
+  if (State.Tx.open() && !State.SettingsBefore)
+    State.SettingsBefore = State.Settings;
+}
+
 std::string runSet(const sql::Statement &S, SessionState &State) {
+  keepSettings(State);
   if (S.ToDefault)
     State.Settings.reset(S.Name);
   else
@@ -148,7 +156,7 @@
 std::string runTransactionEnd(const sql::Statement &S, SessionState &State) {
   if (State.Tx.lost()) {
     State.Tx = Transaction{};
-    return wire::commandComplete("ROLLBACK");
+    return endTransactionSettings(State, true) + wire::commandComplete("ROLLBACK");
   }
   return warning(NoActiveTransaction, "there is no transaction in progress") +
          wire::commandComplete(S.Is == Kind::Commit ? "COMMIT" : "ROLLBACK");
@@ -240,6 +248,17 @@
   }
 }
 
+// Only the application name can change and is reported: the other reported settings have one value.
+std::string endTransactionSettings(SessionState &State, bool RolledBack) {
+  std::optional<CarriedSettings> Before = std::exchange(State.SettingsBefore, std::nullopt);
+  if (!Before || !RolledBack)
+    return "";
+  constexpr const char *Reported = "application_name";
+  bool Changed = Before->get(Reported) != State.Settings.get(Reported);
+  State.Settings = std::move(*Before);
+  return Changed ? reportSetting(Reported, State.Settings) : "";
+}
+
 std::string describeLocal(const sql::Statement &S, char Object) {
   std::string Parameters = Object == 'S' ? wire::Writer().begin('t').int16(0).end().take() : "";
   if (S.Is == Kind::Show)
--- a/src/session/machine.h
+++ b/src/session/machine.h
@@ -47,6 +47,7 @@
   std::optional<proto::Done> Held;       // Done that arrived before all chunks
   Instant GapDeadline;                   // for the missing chunks
   bool ErrorRelayed = false;
+  std::string LastTag; // of the last CommandComplete, when the request ends a transaction
   size_t ParsesConfirmed = 0;
   bool EarlierMayHaveRun = false; // an earlier attempt
   uint64_t UncreditedBytes = 0;   // written to the caller
@@ -131,6 +132,7 @@
   bool scanChunk(std::string_view Frames);
   void incomplete(const std::string &Detail, Instant Now, Actions &Out);
   void complete(const proto::Done &D, Instant Now, Actions &Out);
+  void endSettings(bool RolledBack, Actions &Out);
   void keepTransaction(const proto::Done &D);
   void raiseFloor(const proto::Done &D, Actions &Out);
   void finishRequest(bool Failed, Instant Now, Actions &Out);
--- a/src/session/machine_request.cpp
+++ b/src/session/machine_request.cpp
@@ -1,3 +1,4 @@
+#include "session/local.h"
 #include "session/machine.h"
 
 #include "absl/strings/str_format.h"
@@ -257,8 +258,10 @@
   bool Ends = this->Request->Ends;
   this->endTransactionAfterError(Out);
   // After COMMIT or ROLLBACK the transaction is over, whatever its outcome.
-  if (Ends)
+  if (Ends) {
     this->State.Tx = Transaction{};
+    this->endSettings(true, Out);
+  }
   this->finishRequest(true, Now, Out);
 }
 
@@ -326,6 +329,8 @@
     if (Length < FrameHeaderBytes - 1 || Frames.size() - 1 < Length)
       return false;
     R.ErrorRelayed = R.ErrorRelayed || Frames[0] == 'E';
+    if (R.Ends && Frames[0] == 'C')
+      R.LastTag = wire::BodyReader(Frames.substr(FrameHeaderBytes)).cstring();
     R.ParsesConfirmed += Frames[0] == '1' ? 1 : 0;
     Frames.remove_prefix(size_t{Length} + 1);
   }
@@ -378,6 +383,9 @@
     return this->incomplete("more parts of the answer arrived than were sent", Now, Out);
   this->raiseFloor(D, Out);
   this->keepTransaction(D);
+  // A COMMIT of a failed transaction is answered by ROLLBACK.
+  if (this->Request->Ends)
+    this->endSettings(this->Request->ErrorRelayed || this->Request->LastTag == "ROLLBACK", Out);
   // The id is of one write; another write with the same id would count as its repetition. It stays
   // until a write has succeeded, since the caller may send the request again.
   if (this->Request->KeyFromSetting && !this->Request->ErrorRelayed)
@@ -398,6 +406,12 @@
     this->write(wire::parameterStatus("toucanrun.token", Token), Out);
 }
 
+void Machine::endSettings(bool RolledBack, Actions &Out) {
+  std::string Report = endTransactionSettings(this->State, RolledBack);
+  if (!Report.empty())
+    this->write(Report, Out);
+}
+
 void Machine::keepTransaction(const proto::Done &D) {
   Transaction &Tx = this->State.Tx;
   bool Open = D.tx_status() == 'T' || D.tx_status() == 'E';
--- a/src/session/state.h
+++ b/src/session/state.h
@@ -9,6 +9,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace toucan::session {
@@ -37,6 +38,8 @@
 
 struct SessionState {
   CarriedSettings Settings;
+  // Before the first change by the open transaction, which is undone by its rollback.
+  std::optional<CarriedSettings> SettingsBefore;
   Transaction Tx;
   std::map<std::string, PreparedPtr> Statements; // by name; the unnamed one under ""
   size_t StatementBytes = 0;                     // of all Parse frames
