Link: messages lost with a connection are noticed by their numbers

Cause: ZeroMQ opens a connection that was cut again without a word; a request or an answer on its way was gone, and when the link worked again within 3 s nobody declared a loss. The caller waited until the deadline of 30 s. Ruled out: the pool and the change of primary (both logs end at 06:18:17.442, the next event is the deadline); a socket monitor (it tells of the end of a connection, not of whether something was lost with it). Change: messages of a link are numbered in each epoch; a gap is a loss, and the peer is told at once. Gauge members_alive.

--- a/src/daemon/control.cpp
+++ b/src/daemon/control.cpp
@@ -200,9 +200,13 @@
     }
   }
   std::map<InstanceId, link::PeerAddress> Peers;
-  for (const member::Member &M : View->Members)
+  int64_t Alive = 0;
+  for (const member::Member &M : View->Members) {
+    Alive += M.Status == member::State::Alive ? 1 : 0;
     if (M.Id != this->Options.Self && !M.LinkEndpoint.empty())
       Peers[M.Id] = {.Endpoint = M.LinkEndpoint, .Incarnation = M.Incarnation};
+  }
+  this->Counters.set("members_alive", Alive);
   this->Link.setPeers(std::move(Peers));
   this->Dirty = false;
   this->LastRulesKnown = RulesKnown;
--- a/src/link/link.cpp
+++ b/src/link/link.cpp
@@ -35,7 +35,11 @@
     Instant LastUsed = absl::InfinitePast(); // of any message
     bool Heard = false;                      // it knows this instance
     uint32_t Epoch = 0;                      // losses that both ends know of, or will be told of
-    Instant ToldAt = absl::InfinitePast();   // of the epoch, because of a late message
+    uint64_t Sent = 0;                       // messages of this epoch
+    uint64_t Received = 0;                   // number of the last message of this epoch
+    bool FromFirst =
+        false; // the epoch began while the peer knew this instance: none may be missing
+    Instant ToldAt = absl::InfinitePast(); // of the epoch, because of a late message
     // Silence is measured from here: the first message after a pause, or the last one heard.
     Instant SilentSince = absl::InfiniteFuture();
   };
@@ -66,6 +70,8 @@
   void connect(Peer &P);
   void drop(const InstanceId &Id, std::string_view Cause);
   bool late(const InstanceId &From, Peer &P, const proto::Envelope &Message);
+  bool gap(Peer &P, uint64_t Sequence);
+  void tellEpoch(Peer &P);
   void pingPeers();
   void schedulePing();
 };
@@ -154,23 +160,43 @@
 // delivered, because its sender or this end has given its request up.
 bool LinkService::Impl::late(const InstanceId &From, Peer &P, const proto::Envelope &Message) {
   bool SameProcess = P.Address.Incarnation == 0 || P.Address.Incarnation == Message.incarnation();
-  if (!SameProcess || Message.link_epoch() == P.Epoch)
+  if (!SameProcess)
     return false;
   if (Message.link_epoch() > P.Epoch) {
     P.Epoch = Message.link_epoch();
     this->drop(From, "noticed by the peer");
-    return false;
+  }
+  if (Message.link_epoch() == P.Epoch) {
+    if (!this->gap(P, Message.link_sequence()))
+      return false;
+    ++P.Epoch;
+    this->drop(From, "messages were lost");
+    this->tellEpoch(P);
   }
   if (!ofRequest(Message))
     return false;
   this->Counters.add("link_late_messages_total");
-  if (P.ToldAt + TellPause <= this->InLoop.now()) {
-    P.ToldAt = this->InLoop.now();
-    this->ping(P);
-  }
+  this->tellEpoch(P);
   return true;
 }
 
+// Whether messages before this one were lost: ZeroMQ opens a connection that was cut again without
+// a word, and what was on its way is gone.
+bool LinkService::Impl::gap(Peer &P, uint64_t Sequence) {
+  if (Sequence == 0)
+    return false;
+  bool Expected = Sequence == P.Received + 1 || (P.Received == 0 && !P.FromFirst);
+  P.Received = Sequence;
+  return !Expected;
+}
+
+void LinkService::Impl::tellEpoch(Peer &P) {
+  if (this->InLoop.now() < P.ToldAt + TellPause)
+    return;
+  P.ToldAt = this->InLoop.now();
+  this->ping(P);
+}
+
 void LinkService::Impl::reply(const std::string &RoutingId, const proto::Envelope &Message) {
   zmq::message_t Id(RoutingId.data(), RoutingId.size());
   std::string Bytes = Message.SerializeAsString();
@@ -210,6 +236,7 @@
   Message.set_from(this->Options.Self.Value);
   Message.set_incarnation(this->Options.Incarnation);
   Message.set_link_epoch(P.Epoch);
+  Message.set_link_sequence(P.Sent + 1);
   std::string Bytes = Message.SerializeAsString();
   bool Sent = false;
   try {
@@ -220,6 +247,7 @@
         .kv("peer", P.Address.Endpoint)
         .kv("cause", E.what());
   }
+  P.Sent += Sent ? 1 : 0;
   this->Counters.add(Sent ? "link_sent_bytes_total" : "link_send_failures_total",
                      Sent ? Bytes.size() : 1);
   return Sent;
@@ -245,6 +273,10 @@
   P.SilentSince = absl::InfiniteFuture();
   P.LastSent = absl::InfinitePast();
   P.LastUsed = absl::InfinitePast();
+  P.Sent = 0;
+  P.Received = 0;
+  P.FromFirst = true;
+  P.ToldAt = absl::InfinitePast();
   this->Counters.add("link_lost_total");
   LogEvent(LogLevel::Warn, "link_lost").kv("peer", Id.Value).kv("cause", Cause);
   this->Handlers.OnPeerLost(Id);
@@ -277,6 +309,7 @@
   for (const InstanceId &Id : Lost) {
     ++this->Peers.at(Id).Epoch;
     this->drop(Id, "silent");
+    this->tellEpoch(this->Peers.at(Id));
   }
   int64_t Open = 0;
   for (const auto &[Id, P] : this->Peers)
--- a/src/link/link.h
+++ b/src/link/link.h
@@ -45,7 +45,8 @@
 // peer is lost its DEALER is closed with the messages still queued in it, so that nothing is
 // delivered after the sender has given the request up. Each message carries the number of losses of
 // the link, so that the other end declares the same loss before it handles the first message of the
-// next connection, and drops late messages of the last one. All calls happen in the link loop.
+// next connection, and drops late messages of the last one. Messages are numbered: a gap is a loss.
+// All calls happen in the link loop.
 class LinkService {
 public:
   LinkService(Loop &InLoop, LinkOptions Options, LinkHandlers Handlers, Metrics &Counters);
--- a/src/link/link_test.cpp
+++ b/src/link/link_test.cpp
@@ -168,8 +168,9 @@
   CHECK(A.Lost.empty());
 }
 
-// Guards against an answer that is sent into a silent connection: its sender has not noticed the
-// loss, and the other end waits for the answer until the deadline of the request.
+// Guards against an answer that is sent into a silent connection, or lost with a connection that is
+// opened again at once: without a loss the other end waits for it until the deadline of the
+// request.
 TEST_CASE("both ends of a link agree on its loss") {
   Loop L;
   std::vector<std::string> Events;
@@ -188,19 +189,24 @@
   Out.connect("tcp://" + address(*B));
   std::string Endpoint = In.get(zmq::sockopt::last_endpoint).substr(6);
   B->Service.setPeers({{InstanceId("a"), {.Endpoint = Endpoint, .Incarnation = 1}}});
-  auto Send = [&](uint64_t Id, uint32_t Epoch) {
+  auto Send = [&](uint64_t Id, uint32_t Epoch, uint64_t Sequence) {
     proto::Envelope M;
     M.set_from("a");
     M.set_incarnation(1);
     M.set_link_epoch(Epoch);
+    M.set_link_sequence(Sequence);
     M.mutable_exec()->set_request_id(Id);
     std::string Bytes = M.SerializeAsString();
     Out.send(zmq::buffer(Bytes), zmq::send_flags::none);
   };
-  Send(1, 0);
-  Send(2, 1); // a has noticed a loss and uses a new connection
-  Send(3, 0); // late, from the old connection
-  Send(4, 1);
+  Send(1, 0, 7); // a has sent messages before b knew it
+  Send(2, 0, 8);
+  Send(3, 1, 1); // a has noticed a loss and uses a new connection
+  Send(4, 0, 9); // late, from the old connection
+  Send(5, 1, 2);
+  Send(6, 1, 4); // the connection was cut and opened again, and a message was lost with it
+  Send(7, 1, 5);
+  Send(8, 2, 1);
   // The epoch of what b sends, until it is the new one.
   uint32_t Epoch = 0;
   std::function<void()> Poll = [&] {
@@ -212,15 +218,15 @@
       if (M.ParseFromArray(Body.data(), static_cast<int>(Body.size())))
         Epoch = std::max(Epoch, M.link_epoch());
     }
-    if (Epoch == 1 && Events.size() == 4)
+    if (Epoch == 2 && Events.size() == 7)
       L.stop();
     L.at(L.now() + absl::Milliseconds(20), Poll);
   };
   Poll();
   L.at(monotonicNow() + TestLimit, [&] { L.stop(); });
   L.run();
-  CHECK(Epoch == 1);
-  CHECK(absl::StrJoin(Events, " ") == "1 lost 2 4");
+  CHECK(Epoch == 2);
+  CHECK(absl::StrJoin(Events, " ") == "1 2 lost 3 5 lost 8");
 }
 
 TEST_CASE("a restart of a peer is a loss of its link") {
--- a/tests/cluster.cpp
+++ b/tests/cluster.cpp
@@ -169,8 +169,8 @@
   return Answer && Answer->status == 200;
 }
 
-uint64_t Cluster::metric(const Member &M, const std::string &Name) const {
-  httplib::Client Http("127.0.0.1", M.Http);
+uint64_t Cluster::metric(size_t Proxy, const std::string &Name) const {
+  httplib::Client Http("127.0.0.1", this->Proxies[Proxy].Http);
   auto Answer = Http.Get("/metrics");
   if (!Answer || Answer->status != 200)
     return 0;
@@ -187,8 +187,8 @@
                           "application/json");
   REQUIRE(Answer);
   REQUIRE(Answer->status == 200);
-  for (const Member &M : this->Proxies)
-    REQUIRE(eventually([&] { return this->metric(M, "toucanrun_rules_version") == 1; }));
+  for (size_t I = 0; I < this->Proxies.size(); ++I)
+    REQUIRE(eventually([&] { return this->metric(I, "toucanrun_rules_version") == 1; }));
 }
 
 void Cluster::waitReady() {
--- a/tests/cluster.h
+++ b/tests/cluster.h
@@ -52,6 +52,7 @@
   Process &server(size_t I) { return *this->Servers[I].P; }
   uint16_t proxyPort(size_t I) const { return this->Proxies[I].Port; }
   uint16_t serverPort(size_t I) const { return this->Servers[I].Port; }
+  uint16_t linkPort(size_t I) const { return this->Proxies[I].Link; }
   uint16_t httpPort(size_t Proxy) const { return this->Proxies[Proxy].Http; }
   const std::string &proxyName(size_t I) const { return this->Proxies[I].Name; }
   const std::string &serverName(size_t I) const { return this->Servers[I].Name; }
@@ -75,6 +76,8 @@
   // is given.
   void addProxy(uint16_t PlatformAt = 0);
   bool healthy(size_t Proxy) const;
+  // Value of a line of a proxy's /metrics without labels; 0 when there is none.
+  uint64_t metric(size_t Proxy, const std::string &Name) const;
 
   // Relays in front of a server, of a proxy's link port, and of the platform for all proxies.
   Relay &serverRelay(size_t I) { return *this->Servers[I].Front; }
@@ -112,8 +115,6 @@
   void relayLinks();
   void publish() const;
   void put(const std::string &Path, const std::string &Body) const;
-  // Value of a line of /metrics without labels; 0 when there is none.
-  uint64_t metric(const Member &M, const std::string &Name) const;
 
   ClusterOptions Options;
   TestDir Dir;
--- a/tests/silent_test.cpp
+++ b/tests/silent_test.cpp
@@ -91,6 +91,12 @@
   CHECK(Count > 0);
 }
 
+// Ends the connections with a reset; new ones work at once.
+void cutLinks(Cluster &C) {
+  for (size_t I = 0; I < C.proxies(); ++I)
+    C.linkRelay(I).cut();
+}
+
 enum class When : uint8_t { Idle, Busy };
 
 // Sends Sql and lets connections go silent: before it, or once a target has been sent it.
@@ -195,6 +201,15 @@
     checkSilence(C, Proxy, silenceLinks);
 }
 
+// Guards against a request that waits until its deadline because it, or its answer, was lost with a
+// connection that was opened again before the silence of the peer was noticed.
+TEST_CASE("cut connections between proxies") {
+  Cluster C(relayed(2));
+  prepare(C);
+  for (size_t Proxy = 0; Proxy < C.proxies(); ++Proxy)
+    checkSilence(C, Proxy, cutLinks);
+}
+
 // Guards against an answer with a part missing in its middle when the link is replaced during it.
 TEST_CASE("a large answer over a link that goes silent is whole or an error") {
   constexpr uint64_t Count = 200000;
