Callers get the retry hint of the pool in the HINT field

Cause: the pool's hint (retry_after_us of Done) ended at the entry duty. It only lengthened the entry's own retries, and queue_full and queue_deadline are not retried there, so no caller ever saw it, although docs/OPERATORS.md told callers to wait for it. Ruled out: the hint as part of the message text, which programs would have to search; a new ParameterStatus. Change: a refusal as not run that has a hint carries it in field 'H' as "retry after N ms". Test: "a refusal gives the caller the retry hint of the pool" failed before ("" against "retry after 250 ms"). Conclusion: a program can wait for the time that the pool names.

--- a/src/session/machine.h
+++ b/src/session/machine.h
@@ -49,6 +49,7 @@
   bool ErrorRelayed = false;
   size_t ParsesConfirmed = 0;
   bool EarlierMayHaveRun = false; // an earlier attempt
+  absl::Duration RetryAfter;      // hint of the refusal that ends the request
   uint64_t UncreditedBytes = 0;   // written to the caller
 
   // May be sent again although it may have run.
--- a/src/session/machine_request.cpp
+++ b/src/session/machine_request.cpp
@@ -64,15 +64,24 @@
   return verdictOf(D) == Verdict::NotRun ? Reason::TargetUnreachable : Reason::TargetLost;
 }
 
-// SQLSTATE and text for the caller. The text never promises more than the verdict.
-std::string errorFor(Verdict V, Reason R, const std::string &Detail) {
+// SQLSTATE and text for the caller. The text never promises more than the verdict. A refusal that
+// the pool gave a hint with has it in the hint field, as "retry after N ms", rounded up.
+std::string errorFor(Verdict V, Reason R, const std::string &Detail, absl::Duration RetryAfter) {
   if (V != Verdict::NotRun && reasonVerdict(R) == Verdict::NotRun) {
     std::string Cause = reasonText(R, Detail);
     Cause = Cause.substr(0, Cause.rfind(';'));
     return wire::error("ERROR", reasonSqlState(Reason::TargetLost),
                        absl::StrFormat("%s; the request may have run", Cause));
   }
-  return wire::error("ERROR", reasonSqlState(R), reasonText(R, Detail));
+  std::string Text = reasonText(R, Detail);
+  if (reasonVerdict(R) != Verdict::NotRun || RetryAfter <= absl::ZeroDuration())
+    return wire::error("ERROR", reasonSqlState(R), Text);
+  int64_t Ms = absl::ToInt64Milliseconds(absl::Ceil(RetryAfter, absl::Milliseconds(1)));
+  return wire::errorResponse({{'S', "ERROR"},
+                              {'V', "ERROR"},
+                              {'C', std::string(reasonSqlState(R))},
+                              {'M', Text},
+                              {'H', absl::StrFormat("retry after %d ms", Ms)}});
 }
 
 } // namespace
@@ -208,8 +217,10 @@
                           Instant Now, Actions &Out) {
   Running &Run = *this->Request;
   absl::Duration Delay = this->retryDelay(RetryAfter);
-  if (!this->mayRetry(V, R, Delay, Now))
+  if (!this->mayRetry(V, R, Delay, Now)) {
+    Run.RetryAfter = RetryAfter;
     return this->endWithError(V, R, Detail, Now, Out);
+  }
   Reason Counted = retryReason(V, R, Run.repeatable());
   this->count(Counted, Out);
   Out.emplace_back(LogAction{.Level = LogLevel::Debug,
@@ -250,7 +261,7 @@
   bool PartOfRead = Run.IsRead && Run.NextChunk > 0;
   if (PartOfRead && (R == Reason::LinkLost || R == Reason::TargetLost))
     R = Reason::AnswerIncomplete;
-  this->write(errorFor(V, R, Detail), Out);
+  this->write(errorFor(V, R, Detail, Run.RetryAfter), Out);
   this->count(R, Out);
   this->logRefusal(R, Detail, Out);
   Run.ErrorRelayed = true;
--- a/src/session/machine_test.cpp
+++ b/src/session/machine_test.cpp
@@ -80,6 +80,33 @@
   CHECK(has(Write->Bytes, "08007"));
 }
 
+// Guards against a retry hint that ends at the entry duty, and against one in an answer that does
+// not invite the caller to send the request again.
+TEST_CASE("a refusal gives the caller the retry hint of the pool") {
+  auto HintOf = [](proto::Verdict V, Reason R, uint64_t RetryAfterUs) {
+    Transcript T;
+    start(T);
+    T.event("query insert into t values (1)");
+    proto::Done D;
+    D.set_request_id(T.LastRequest);
+    D.set_verdict(V);
+    D.set_reason(static_cast<uint32_t>(R));
+    D.set_retry_after_us(RetryAfterUs);
+    Actions Out;
+    T.M->onDone(InstanceId("b"), D, T.Now, Out);
+    const auto *Write = std::get_if<WriteAction>(&Out.front());
+    REQUIRE(Write);
+    wire::FrameReader Reader(1000);
+    Reader.append(Write->Bytes);
+    wire::Frame F;
+    REQUIRE(Reader.next(F) == wire::ReadStatus::Ready);
+    return wire::parseError(F.Body).value_or(wire::ErrorFields())['H'];
+  };
+  CHECK(HintOf(proto::NOT_RUN, Reason::QueueFull, 249'001) == "retry after 250 ms");
+  CHECK(HintOf(proto::NOT_RUN, Reason::QueueFull, 0).empty());
+  CHECK(HintOf(proto::MAY_HAVE_RUN, Reason::TargetLost, 250'000).empty());
+}
+
 TEST_CASE("start-up: what is refused, and with which SQLSTATE") {
   CHECK(has(startupAnswer("user=u database=nowhere"), "FATAL 3D000"));
   CHECK(has(startupAnswer("database=orders"), "FATAL 28000"));
