--- a/bench/load_main.cpp
+++ b/bench/load_main.cpp
@@ -3,6 +3,7 @@
 
 #include "base/settings.h"
 
+#include "absl/strings/match.h"
 #include "absl/strings/numbers.h"
 #include "absl/strings/str_split.h"
 
@@ -63,6 +64,11 @@
      .Default = "steady",
      .Choices = "steady|surge",
      .Help = "Surge: every caller connects in the first second and sends one short request."},
+    {.Name = "refused",
+     .Kind = SettingKind::Choice,
+     .Default = "stay-away",
+     .Choices = "stay-away|return",
+     .Help = "Return: requests refused as not run, and reads without an answer, are sent again."},
     {.Name = "duration-ms",
      .Kind = SettingKind::Integer,
      .Default = "10000",
@@ -103,12 +109,14 @@
   O.StartupOptions = V.text("options");
   O.Callers = static_cast<size_t>(V.integer("callers"));
   O.Surge = V.text("mode") == "surge";
+  O.RefusedReturn = V.text("refused") == "return";
   O.Duration = absl::Milliseconds(V.integer("duration-ms"));
   O.Deadline = absl::Milliseconds(V.integer("deadline-ms"));
   O.Seed = static_cast<uint64_t>(V.integer("seed"));
   O.Streams.push_back({.Name = "short",
                        .Sql = V.text("short-sql"),
-                       .PerSecond = static_cast<double>(V.integer("short-rate"))});
+                       .PerSecond = static_cast<double>(V.integer("short-rate")),
+                       .Read = absl::StartsWithIgnoreCase(V.text("short-sql"), "select ")});
   if (V.integer("write-rate") > 0)
     O.Streams.push_back({.Name = "write",
                          .Sql = V.text("write-sql"),
@@ -125,6 +133,11 @@
   for (size_t I = 0; I < OutcomeCount; ++I)
     std::printf(" %s=%llu", std::string(outcomeName(static_cast<Outcome>(I))).c_str(),
                 static_cast<unsigned long long>(R.Outcomes[I]));
+  std::printf(" tries=%llu refused_at_once=%llu refused_later=%llu lost_tries=%llu",
+              static_cast<unsigned long long>(R.Tries),
+              static_cast<unsigned long long>(R.RefusedAtOnce),
+              static_cast<unsigned long long>(R.RefusedLater),
+              static_cast<unsigned long long>(R.LostTries));
   std::printf(" p50=%.2f p99=%.2f max=%.2f refused_p99=%.2f\n", quantile(R.AnsweredMs, 0.5),
               quantile(R.AnsweredMs, 0.99), quantile(R.AnsweredMs, 1), quantile(R.RefusedMs, 0.99));
 }
--- a/tests/relay.cpp
+++ b/tests/relay.cpp
@@ -42,6 +42,11 @@
   return ::setsockopt(Fd, SOL_SOCKET, SO_ATTACH_FILTER, &Program, sizeof Program) == 0;
 }
 
+bool takeArriving(int Fd) {
+  int Ignored = 0;
+  return ::setsockopt(Fd, SOL_SOCKET, SO_DETACH_FILTER, &Ignored, sizeof Ignored) == 0;
+}
+
 int connectTo(uint16_t Port) {
   int Fd = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
   sockaddr_in To = loopback(Port);
@@ -145,6 +150,22 @@
   return Count;
 }
 
+void Relay::partition(bool Cut) {
+  std::lock_guard Lock(this->Mutex);
+  if (this->Partitioned == Cut)
+    return;
+  this->Partitioned = Cut;
+  // The filter of the listener drops the first segment of each new connection.
+  auto Apply = [&](int Fd) { CHECK((Cut ? dropArriving(Fd) : takeArriving(Fd))); };
+  Apply(this->Listener);
+  for (const Pair &P : this->Pairs) {
+    if (P.Silent)
+      continue;
+    Apply(P.Near.Fd);
+    Apply(P.Far.Fd);
+  }
+}
+
 void Relay::run() {
   for (;;) {
     std::vector<pollfd> Waits{{this->Listener, POLLIN, 0}};
@@ -152,8 +173,10 @@
       std::lock_guard Lock(this->Mutex);
       if (this->Stopping)
         return;
+      if (this->Partitioned)
+        Waits.clear();
       for (const Pair &P : this->Pairs) {
-        if (P.Silent)
+        if (P.Silent || this->Partitioned)
           continue;
         Waits.push_back({P.Near.Fd, POLLIN, 0});
         Waits.push_back({P.Far.Fd, POLLIN, 0});
@@ -161,6 +184,8 @@
     }
     ::poll(Waits.data(), Waits.size(), PollMs);
     std::lock_guard Lock(this->Mutex);
+    if (this->Partitioned)
+      continue;
     this->accept();
     for (Pair &P : this->Pairs)
       if (!P.Silent)
--- a/tests/relay.h
+++ b/tests/relay.h
@@ -36,6 +36,10 @@
   // both directions and neither end gets an acknowledgement or a reset. New connections pass.
   // Returns how many were not silent before.
   size_t silence();
+  // Cuts the target off, or ends the cut: meanwhile nothing passes on open connections, and new
+  // ones get no answer, not even a reset. Open connections go on after the cut unless an end gave
+  // up.
+  void partition(bool Cut);
   // Number of connections accepted so far.
   size_t accepted() const;
 
@@ -61,6 +65,7 @@
   uint16_t Port = 0;
   mutable std::mutex Mutex;
   bool Stopping = false;
+  bool Partitioned = false;
   uint16_t Target = 0;
   std::map<std::string, std::string> Replacements;
   std::string Watched;
