Pool: a full queue tells each refused caller its own time to return

Cause: queue_full gave every refused caller the time that a full queue takes (2.5 s at 2 slots of 5 ms, plus up to a half). In a surge of factor 20 more callers came back within that spread than the queue takes, and were refused again. Change: each refusal by a full queue gets the next turn at the rate of service, at most 30 s ahead; the turns start anew when the queue is half empty. Test: "refused callers are told to return at the rate of service" failed before (86 ms and 76 ms against at most 30 ms and at least 1.9 s).

--- a/src/pool/choose.cpp
+++ b/src/pool/choose.cpp
@@ -13,6 +13,8 @@
 namespace {
 
 constexpr absl::Duration MinRetryAfter = absl::Milliseconds(20);
+// Longest hint before jitter: callers that do not return must not delay later ones for long.
+constexpr absl::Duration MaxRetryAfter = absl::Seconds(30);
 // Free slots of the primary that reads spilled from full replicas leave for other work.
 constexpr uint32_t SpillReserve = 1;
 // Time constant of the average of short work.
@@ -168,6 +170,17 @@
          static_cast<double>(this->laneSlots(L, T.Class));
 }
 
+// The hint of a request that a full queue refuses. Each refused request gets a turn of its own, at
+// the rate at which the queue is served. One hint for all, the time that a full queue takes, let
+// the queue run empty before the refused callers returned, and then overflow again.
+absl::Duration Dispatcher::returnAfter(const Ticket &T, Instant Now) {
+  Lane L = T.ReplicaAllowed ? ReplicaLane : PrimaryLane;
+  Instant &Last = this->LastReturn[index(T.Class)];
+  Last = std::clamp(Last, Now, Now + MaxRetryAfter) +
+         this->Service[index(T.Class)] / this->laneSlots(L, T.Class);
+  return this->jittered(Last - Now);
+}
+
 // Adds up to a half, so that refused callers do not return at the same moment (SplitMix64).
 absl::Duration Dispatcher::jittered(absl::Duration D) {
   this->Random += 0x9e3779b97f4a7c15U;
--- a/src/pool/dispatch.cpp
+++ b/src/pool/dispatch.cpp
@@ -85,10 +85,13 @@
     absl::Duration Wait = this->estimatedWait(T);
     absl::Duration Left = T.Deadline - Now;
     if (this->waiting(T.Class) >= this->Options.QueueLimit)
-      return Refusal{Reason::QueueFull, this->jittered(Wait)};
+      return Refusal{Reason::QueueFull, this->returnAfter(T, Now)};
     if (Left <= absl::ZeroDuration() || Wait > Left)
       return Refusal{Reason::QueueDeadline, this->jittered(Wait - Left)};
   }
+  // A queue that is half empty has taken back the refused callers that return.
+  if (!T.Pinned && this->waiting(T.Class) < this->Options.QueueLimit / 2)
+    this->LastReturn[index(T.Class)] = absl::InfinitePast();
   this->enqueue(std::move(T));
   return std::nullopt;
 }
--- a/src/pool/dispatch.h
+++ b/src/pool/dispatch.h
@@ -131,6 +131,7 @@
   bool spillTakes(const Ticket &T);
   Choice chooseReplica(const Ticket &T, Instant Now) const;
   absl::Duration estimatedWait(const Ticket &T) const;
+  absl::Duration returnAfter(const Ticket &T, Instant Now);
   uint32_t laneSlots(Lane L, rules::WorkClass Class) const;
   absl::Duration jittered(absl::Duration D);
   Reason expiryReason(const Ticket &T) const;
@@ -166,6 +167,8 @@
   std::set<std::pair<Instant, TicketId>> Deadlines;
   std::set<TicketId> WaitedForReplica;
   std::array<absl::Duration, Classes> Service;
+  // When the last caller that was refused by a full queue was told to return.
+  std::array<Instant, Classes> LastReturn = {absl::InfinitePast(), absl::InfinitePast()};
   // Short requests that execute or wait in a lane: their average, its level (the average without
   // its short dips), and their number since the average was taken.
   std::array<double, Lanes> ShortAverage = {};
--- a/src/pool/dispatch_test.cpp
+++ b/src/pool/dispatch_test.cpp
@@ -165,6 +165,34 @@
   CHECK(Refused->Why == Reason::QueueFull);
 }
 
+// Guards against refused callers that all return together, to a queue that has run empty meanwhile,
+// and against ever longer hints for callers that do not return.
+TEST_CASE("refused callers are told to return at the rate of service") {
+  Bench B(100);
+  uint64_t Id = 0;
+  auto Refuse = [&](int Times) {
+    std::optional<Refusal> Last;
+    for (int I = 0; I < Times; ++I)
+      Last = B.D.admit(ticket(++Id), T0);
+    REQUIRE(Last);
+    CHECK(Last->Why == Reason::QueueFull);
+    return Last->RetryAfter;
+  };
+  for (int I = 0; I < 100; ++I)
+    CHECK(!B.D.admit(ticket(++Id), T0));
+  CHECK(Refuse(1) <= absl::Milliseconds(30));
+  // Three slots and 2 ms for each request before any has ended: 1.5 returns in a millisecond.
+  absl::Duration Last = Refuse(2999);
+  CHECK(Last >= absl::Milliseconds(1900));
+  CHECK(Last <= absl::Seconds(3));
+  CHECK(Refuse(100'000) <= absl::Seconds(45));
+  for (uint64_t Waiting = 1; Waiting <= 60; ++Waiting)
+    CHECK(B.D.remove(TicketId(Waiting)));
+  for (int I = 0; I < 60; ++I)
+    CHECK(!B.D.admit(ticket(++Id), T0));
+  CHECK(Refuse(1) <= absl::Milliseconds(30));
+}
+
 // Guards against requests that are refused too early during a change of primary, or never.
 TEST_CASE("requests wait for a primary until their deadline") {
   Bench B;
--- a/tests/standin_test.cpp
+++ b/tests/standin_test.cpp
@@ -1,12 +1,53 @@
 // The stand-in database as a process, without a proxy.
 #include "cluster.h"
+#include "relay.h"
 #include "workload.h"
 
 #include <doctest/doctest.h>
+#include <netinet/in.h>
 #include <signal.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <thread>
 
 using namespace toucan::test;
 
+namespace {
+
+// Whether a connection to the port is established within 300 ms.
+bool connects(uint16_t Port) {
+  int Fd = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  timeval Limit{.tv_sec = 0, .tv_usec = 300'000};
+  ::setsockopt(Fd, SOL_SOCKET, SO_SNDTIMEO, &Limit, sizeof Limit);
+  sockaddr_in To{};
+  To.sin_family = AF_INET;
+  To.sin_port = htons(Port);
+  To.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  bool Connected = ::connect(Fd, reinterpret_cast<sockaddr *>(&To), sizeof To) == 0;
+  ::close(Fd);
+  return Connected;
+}
+
+} // namespace
+
+// Guards against a failover measurement whose primary is refused or reset instead of cut off.
+TEST_CASE("a partition by the relay is silent and ends") {
+  SingleServer S;
+  Relay R;
+  R.setTarget(S.process().port("port"));
+  Client Open({.Port = R.port(), .Options = "-c group_term=1"});
+  REQUIRE(Open.run("select 1").ok());
+  R.partition(true);
+  REQUIRE(Open.send("select 1"));
+  CHECK_FALSE(connects(R.port()));
+  CHECK(Open.busy());
+  CHECK(Open.connected());
+  R.partition(false);
+  CHECK(Open.finish().ok());
+  CHECK(connects(R.port()));
+}
+
 // Guards against a stop that hangs, fails or cuts off clients without a reason.
 TEST_CASE("standin-db ends cleanly on SIGTERM") {
   SingleServer S;
