Failover measurement: row ids of two cases never meet

Cause: the ids began with the second of the start, so a case that began in the same second as the one before wrote the same ids again, and the measurement showed 10 to 25 doubled rows in one table. Ruled out: doubled writes of the proxy: with ids of its own for each case, 30 cases show none. Change: ids begin with the millisecond.

--- a/scripts/measure.sh
+++ b/scripts/measure.sh
@@ -166,7 +166,7 @@
   local run=$1 how=$2 pid=$3 primary began now id writer signal=$2
   primary=$(primary_of orders)
   [ "$how" = CUT ] && signal=USR1
-  id=$(date +%s)0000 # above those of earlier runs
+  id=$(date +%s%3N)0000 # above those of earlier runs
   : >"$work/acked"
   touch "$work/writing"
   write_bookings "$((id + 5000))" &
