Load tool: callers may tell the proxy their deadline; surge measures it

Cause: at factor 20 some 680 of the answered callers got their answer too late, because the pool does not know how much time a returning caller has left. Ruled out: a lower queue limit, which would refuse patient callers too. Test: "a told deadline is the time left, and its answer is not the request's".

--- a/bench/load.cpp
+++ b/bench/load.cpp
@@ -85,6 +85,7 @@
   std::optional<Job> Current;
   Instant Deadline;
   Instant Sent;
+  size_t AnswersBefore = 0; // to the SET before the request
   std::optional<Outcome> ErrorOutcome;
   std::optional<absl::Duration> ErrorRetryAfter;
 };
@@ -112,10 +113,18 @@
 
 void Caller::send(Job J, Instant D) {
   assert(this->idle());
+  Instant Now = monotonicNow();
+  this->AnswersBefore = 0;
+  if (this->Options.TellDeadline && D > Now) {
+    // Rounded up: 0 would mean no limit.
+    int64_t LeftMs = absl::ToInt64Milliseconds(absl::Ceil(D - Now, absl::Milliseconds(1)));
+    this->Out += wire::query(absl::StrCat("set statement_timeout = ", LeftMs));
+    this->AnswersBefore = 1;
+  }
   this->Out += wire::query(J.Sql);
   this->Current = std::move(J);
   this->Deadline = D;
-  this->Sent = monotonicNow();
+  this->Sent = Now;
   this->ErrorOutcome.reset();
   this->ErrorRetryAfter.reset();
   this->flush();
@@ -155,6 +164,10 @@
 
 void Caller::onReady() {
   this->Ready = true;
+  if (this->AnswersBefore > 0) {
+    --this->AnswersBefore;
+    return;
+  }
   if (this->Current)
     this->endTry(monotonicNow() <= this->Deadline ? Outcome::Good : Outcome::Late);
   if (this->idle())
@@ -183,6 +196,7 @@
 // Reports the request under way and connects to the next proxy after a pause.
 void Caller::lose() {
   this->closeSocket();
+  this->AnswersBefore = 0;
   if (this->Current)
     this->endTry(Outcome::Lost);
   this->Proxy = (this->Proxy + 1) % this->Options.Proxies.size();
--- a/bench/load.h
+++ b/bench/load.h
@@ -44,6 +44,8 @@
   // Open-loop requests that were refused as not run, and reads without an answer, are sent again
   // after a pause while their deadline has not passed.
   bool RefusedReturn = false;
+  // Each request is preceded by SET statement_timeout with the time left until its deadline.
+  bool TellDeadline = false;
   absl::Duration Duration = absl::Seconds(10);
   absl::Duration Deadline = absl::Seconds(2); // an answer after it is not counted as good
   uint64_t Seed = 1;
--- a/bench/load_main.cpp
+++ b/bench/load_main.cpp
@@ -69,6 +69,11 @@
      .Default = "stay-away",
      .Choices = "stay-away|return",
      .Help = "Return: requests refused as not run, and reads without an answer, are sent again."},
+    {.Name = "deadline",
+     .Kind = SettingKind::Choice,
+     .Default = "untold",
+     .Choices = "untold|told",
+     .Help = "Told: each try is preceded by SET statement_timeout with the time left."},
     {.Name = "duration-ms",
      .Kind = SettingKind::Integer,
      .Default = "10000",
@@ -109,6 +114,7 @@
   O.StartupOptions = V.text("options");
   O.Callers = static_cast<size_t>(V.integer("callers"));
   O.Surge = V.text("mode") == "surge";
+  O.TellDeadline = V.text("deadline") == "told";
   O.RefusedReturn = V.text("refused") == "return";
   O.Duration = absl::Milliseconds(V.integer("duration-ms"));
   O.Deadline = absl::Milliseconds(V.integer("deadline-ms"));
--- a/bench/load_test.cpp
+++ b/bench/load_test.cpp
@@ -5,6 +5,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <mutex>
 #include <thread>
 
 using namespace toucan;
@@ -40,6 +41,11 @@
   FakeProxy(const FakeProxy &) = delete;
   FakeProxy &operator=(const FakeProxy &) = delete;
 
+  // All bytes of callers.
+  std::string received() const {
+    std::lock_guard Lock(this->Mutex);
+    return this->Received;
+  }
   Address address() const { return {.Host = "127.0.0.1", .Port = this->Port}; }
 
 private:
@@ -57,7 +63,9 @@
       ::send(Fd, Text.data(), Text.size(), MSG_NOSIGNAL);
     };
     Send(wire::authenticationOk() + wire::readyForQuery('I'));
-    while (::recv(Fd, Buffer.data(), Buffer.size(), 0) > 0) {
+    for (ssize_t Got = 0; (Got = ::recv(Fd, Buffer.data(), Buffer.size(), 0)) > 0;) {
+      std::lock_guard Lock(this->Mutex);
+      this->Received.append(Buffer.data(), static_cast<size_t>(Got));
       std::string Reply = this->Next < this->Replies.size() ? this->Replies[this->Next++] : "";
       if (Reply.empty())
         return;
@@ -69,6 +77,8 @@
   uint16_t Port = 0;
   std::vector<std::string> Replies;
   size_t Next = 0;
+  mutable std::mutex Mutex;
+  std::string Received;
   std::thread Thread;
 };
 
@@ -160,3 +170,26 @@
     CHECK(R.LostTries == 1);
   }
 }
+
+// Guards against the answer to the SET being taken for that of the request.
+TEST_CASE("a told deadline is the time left, and its answer is not the request's") {
+  FakeProxy P({wire::commandComplete("SET") + wire::readyForQuery('I') + refusal("")});
+  LoadOptions O{.Proxies = {P.address()},
+                .Database = "x",
+                .Streams = {{.Name = "short", .Sql = "select 1"}},
+                .Callers = 1,
+                .Surge = true,
+                .TellDeadline = true,
+                .Duration = absl::Milliseconds(1100),
+                .Deadline = absl::Milliseconds(300)};
+  StreamResult R = runLoad(O).at(0);
+  CHECK(count(R, Outcome::NotRun) == 1);
+  CHECK(R.Tries == 1);
+  std::string Told = "set statement_timeout = ";
+  std::string Received = P.received();
+  size_t At = Received.find(Told);
+  REQUIRE(At != std::string::npos);
+  int Ms = std::stoi(Received.substr(At + Told.size()));
+  CHECK(Ms > 0);
+  CHECK(Ms <= 300);
+}
--- a/scripts/measure.sh
+++ b/scripts/measure.sh
@@ -68,33 +68,34 @@
 }
 
 # Every caller connects within one second and asks once; 5 and 20 times what 2 slots of 5 ms serve.
-# Refused callers stay away or return; in some cases the proxy that owns the database, or another
-# one, is killed 0.5 s after the start.
+# Refused callers stay away or return, in one case with their deadline told; in some cases the
+# proxy that owns the database, or another one, is killed 0.5 s after the start.
 measure_surge() {
   local run factor
   for run in $(seq "$runs"); do
     for factor in 5 20; do
       surge "$run" "$factor" stay-away none
       for killed in none owner other; do surge "$run" "$factor" return "$killed"; done
+      surge "$run" "$factor" return none told
     done
   done
 }
 
-# Usage: surge RUN FACTOR stay-away|return none|owner|other
+# Usage: surge RUN FACTOR stay-away|return none|owner|other [told|untold]
 surge() {
-  local victim="" owner load_pid
+  local victim="" owner load_pid deadline=${5:-untold}
   owner=$("$bin/toucanctl" targets | awk '$1 == "orders" {print $NF; exit}')
   [ "$4" = owner ] && victim=${owner#proxy-}
   [ "$4" = other ] && victim=$(((${owner#proxy-} + 1) % 4))
   load --mode=surge --callers=$((400 * $2)) --short-sql='select sleep_ms(5) from stock' \
-    --refused="$3" --duration-ms=2000 --deadline-ms=4000 --seed="$1" >"$work/load.out" &
+    --refused="$3" --deadline="$deadline" --duration-ms=2000 --deadline-ms=4000 --seed="$1" >"$work/load.out" &
   load_pid=$!
   if [ -n "$victim" ]; then
     sleep 0.5
     kill -9 "${proxy_pid[$victim]}"
   fi
   wait "$load_pid"
-  echo "measure=surge run=$1 factor=$2 refused=$3 killed=$4 $(cat "$work/load.out")"
+  echo "measure=surge run=$1 factor=$2 refused=$3 killed=$4 deadline=$deadline $(cat "$work/load.out")"
   [ -n "$victim" ] || return 0
   rm -f "$work/proxy-$victim.out" # its line of the old ports
   start_proxy "$victim"
