--- a/scripts/cluster.sh
+++ b/scripts/cluster.sh
@@ -125,6 +125,15 @@
     "host=127.0.0.1 port=${proxy_port[$proxy]} user=demo dbname=$database connect_timeout=10"
 }
 
+# Takes a process that has ended out of those that stop_all ends: its id may belong to another process
+# by then. Usage: forget PID
+forget() {
+  local pid kept=()
+  wait "$1" 2>/dev/null || true
+  for pid in "${all_pids[@]}"; do [ "$pid" = "$1" ] || kept+=("$pid"); done
+  all_pids=("${kept[@]}")
+}
+
 # Ends only the processes that were started here.
 stop_all() {
   local pid
--- a/scripts/measure.sh
+++ b/scripts/measure.sh
@@ -97,6 +97,7 @@
   wait "$load_pid"
   echo "measure=surge run=$1 factor=$2 refused=$3 killed=$4 deadline=$deadline $(cat "$work/load.out")"
   [ -n "$victim" ] || return 0
+  forget "${proxy_pid[$victim]}"
   rm -f "$work/proxy-$victim.out" # its line of the old ports
   start_proxy "$victim"
   publish_instances
@@ -190,7 +191,10 @@
     {acked++; missing += !($1 in times)}
     END {printf "acked=%d missing=%d doubled=%d", acked, missing, doubled}' "$work/found" "$work/acked")"
   case $how in
-    KILL) start_server orders "${primary##*-}" "${server_port[$primary]}" ;;
+    KILL)
+      forget "$pid"
+      start_server orders "${primary##*-}" "${server_port[$primary]}"
+      ;;
     STOP) kill -CONT "$pid" ;;
     CUT) kill -USR2 "$pid" ;;
   esac
