--- a/src/base/base.h
+++ b/src/base/base.h
@@ -1,4 +1,4 @@
-// Public header of the base library: ids, time, errors, verdicts, counters, logs, settings, loop.
+// Public header of the base library: ids, time, errors, verdicts, counters, logs, settings, policies, loop.
 #ifndef TOUCAN_BASE_BASE_H
 #define TOUCAN_BASE_BASE_H
 
@@ -7,6 +7,7 @@
 #include "base/log.h"
 #include "base/loop.h"
 #include "base/metrics.h"
+#include "base/policy.h"
 #include "base/settings.h"
 #include "base/verdict.h"
 
--- a/src/daemon/daemon_test.cpp
+++ b/src/daemon/daemon_test.cpp
@@ -47,6 +47,23 @@
   CHECK(Started.Problem.Message.find(std::to_string(First.port())) != std::string::npos);
 }
 
+// Guards against a policy that can be set but has no row in the table, and the reverse.
+TEST_CASE("the choices of the setting are the policies of the table") {
+  std::string Names;
+  for (const Policy &P : Policies)
+    Names += (Names.empty() ? "" : "|") + std::string(P.Name);
+  bool Found = false;
+  for (const Setting &S : settingsTable()) {
+    if (S.Name != "policy")
+      continue;
+    Found = true;
+    CHECK(S.Choices == Names);
+    CHECK(S.Default == Policies[0].Name);
+  }
+  CHECK(Found);
+  CHECK(policyNamed("fifo") == nullptr);
+}
+
 // Guards against a default outside its own range, which would stop every start.
 TEST_CASE("every default lies in its range, and all option structs can be made") {
   std::map<std::string, std::string> Flags = {{"instance-id", "a"},
--- a/src/daemon/options.cpp
+++ b/src/daemon/options.cpp
@@ -1,5 +1,7 @@
 #include "daemon/options.h"
 
+#include <cassert>
+
 namespace toucan::daemon {
 
 namespace {
@@ -80,6 +82,11 @@
                   "Time between not ready and the end of accepting callers, ms."),
     numberSetting("drain-timeout-ms", "30000", 0, DayMs,
                   "Time for requests and transactions under way at shutdown, ms."),
+    {.Name = "policy",
+     .Kind = SettingKind::Choice,
+     .Default = "toucan",
+     .Choices = "toucan|baseline",
+     .Help = "Strategies for queues and reads after a write; baseline is for comparison only."},
     {.Name = "log-level",
      .Kind = SettingKind::Choice,
      .Default = "info",
@@ -112,6 +119,8 @@
 
 DaemonOptions makeOptions(const SettingValues &V, uint64_t Incarnation) {
   InstanceId Self(V.text("instance-id"));
+  const Policy *Chosen = policyNamed(V.text("policy"));
+  assert(Chosen && "the choices of the setting are the names in the table");
   return {
       .Self = Self,
       .Incarnation = Incarnation,
@@ -130,14 +139,16 @@
                 .TokenKey = V.text("token-key"),
                 .RequestTimeout = milliseconds(V, "request-timeout-ms"),
                 .LongRequestTimeout = milliseconds(V, "long-request-timeout-ms"),
-                .Seed = Incarnation},
+                .Seed = Incarnation,
+                .Reads = Chosen->Reads},
       .Pool = {.Self = Self,
                .TargetUser = V.text("target-user"),
                .TargetPassword = V.text("target-password"),
                .QueueLimit = static_cast<size_t>(V.integer("queue-limit")),
                .ConfirmTimeout = milliseconds(V, "confirm-timeout-ms"),
                .IdleInTransaction = milliseconds(V, "idle-in-transaction-ms"),
-               .Seed = Incarnation},
+               .Seed = Incarnation,
+               .Order = Chosen->Order},
       .Group = {.Self = Self,
                 .Incarnation = Incarnation,
                 .TargetUser = V.text("target-user"),
--- a/src/pool/choose.cpp
+++ b/src/pool/choose.cpp
@@ -162,7 +162,7 @@
 
 // Time until a new request would start, from the learned service time of its class.
 absl::Duration Dispatcher::estimatedWait(const Ticket &T) const {
-  Lane L = T.ReplicaAllowed ? ReplicaLane : PrimaryLane;
+  Lane L = this->laneOf(T);
   size_t Ahead = this->lane(T.Class, L).size();
   return this->Service[index(T.Class)] * static_cast<double>(Ahead) /
          static_cast<double>(this->laneSlots(L, T.Class));
--- a/src/pool/dispatch.cpp
+++ b/src/pool/dispatch.cpp
@@ -33,6 +33,32 @@
 Dispatcher::Dispatcher(DispatchOptions Options)
     : Options(Options), Random(Options.Seed), Service{FirstShortService, FirstLongService} {}
 
+// In the order of QueueOrder.
+const Dispatcher::OrderStrategy Dispatcher::Orders[] = {
+    {.ClassesAndCallers = true, .Start = &Dispatcher::startByClass},
+    {.ClassesAndCallers = false, .Start = &Dispatcher::startByArrival},
+};
+
+const Dispatcher::OrderStrategy &Dispatcher::order() const {
+  return Orders[static_cast<size_t>(this->Options.Order)];
+}
+
+WorkClass Dispatcher::classOf(WorkClass Class) const {
+  return this->order().ClassesAndCallers ? Class : WorkClass::Short;
+}
+
+// Without classes there is one queue, whatever target a request may run at.
+Dispatcher::Lane Dispatcher::laneOf(const Ticket &T) const {
+  return this->order().ClassesAndCallers && T.ReplicaAllowed ? ReplicaLane : PrimaryLane;
+}
+
+// Removes what the queue order does not distinguish.
+void Dispatcher::strip(Ticket &T) const {
+  T.Class = this->classOf(T.Class);
+  if (!this->order().ClassesAndCallers)
+    T.FairnessKey.clear();
+}
+
 FairQueue &Dispatcher::lane(WorkClass Class, Lane L) { return this->Queues[index(Class)][L]; }
 
 const FairQueue &Dispatcher::lane(WorkClass Class, Lane L) const {
@@ -78,6 +104,7 @@
 
 // Decides admission: a full queue, or a wait beyond the deadline, is refused with a retry hint.
 std::optional<Refusal> Dispatcher::admit(Ticket T, Instant Now) {
+  this->strip(T);
   this->LastUse = Now;
   if (T.ReplicaAllowed)
     this->LastReplicaUse = Now;
@@ -100,16 +127,17 @@
     this->Targets[*T.Pinned].Pinned.push_back(std::move(T));
     return;
   }
-  Lane L = T.ReplicaAllowed ? ReplicaLane : PrimaryLane;
+  Lane L = this->laneOf(T);
   WorkClass Class = T.Class;
   this->lane(Class, L).push(std::move(T));
 }
 
 void Dispatcher::requeue(Ticket T) {
   assert(!T.Pinned);
+  this->strip(T);
   this->DeadlineOf[T.Id] = T.Deadline;
   this->Deadlines.emplace(T.Deadline, T.Id);
-  Lane L = T.ReplicaAllowed ? ReplicaLane : PrimaryLane;
+  Lane L = this->laneOf(T);
   WorkClass Class = T.Class;
   this->lane(Class, L).pushFront(std::move(T));
 }
@@ -183,6 +211,7 @@
 void Dispatcher::released(const TargetId &At) { ++this->Targets[At].Idle; }
 
 void Dispatcher::ended(const TargetId &At, WorkClass Class, std::optional<absl::Duration> Service) {
+  Class = this->classOf(Class);
   uint32_t &Count = this->Targets[At].Executing[index(Class)];
   assert(Count > 0);
   --Count;
@@ -234,14 +263,7 @@
   this->reviewParked(Now);
   this->averageShortWork(Now);
   this->startPinned(Out);
-  if (this->longIsOverdue(Now)) {
-    this->startPrimary(WorkClass::Long, Out);
-    this->startReplica(WorkClass::Long, Now, Out);
-  }
-  for (WorkClass Class : {WorkClass::Short, WorkClass::Long}) {
-    this->startPrimary(Class, Out);
-    this->startReplica(Class, Now, Out);
-  }
+  (this->*this->order().Start)(Now, Out);
   this->openConnections(Now, Out);
   for (Lane L : {PrimaryLane, ReplicaLane})
     this->ShortNow[L] = this->inLane(WorkClass::Short, L);
@@ -314,6 +336,39 @@
       this->start(T, Id, Out);
 }
 
+void Dispatcher::startByClass(Instant Now, std::vector<Action> &Out) {
+  if (this->longIsOverdue(Now)) {
+    this->startPrimary(WorkClass::Long, Out);
+    this->startReplica(WorkClass::Long, Now, Out);
+  }
+  for (WorkClass Class : {WorkClass::Short, WorkClass::Long}) {
+    this->startPrimary(Class, Out);
+    this->startReplica(Class, Now, Out);
+  }
+}
+
+// A request that cannot start keeps all later ones waiting.
+void Dispatcher::startByArrival(Instant Now, std::vector<Action> &Out) {
+  FairQueue &Q = this->lane(WorkClass::Short, PrimaryLane);
+  std::optional<TargetId> At;
+  auto Starts = [&](const Ticket &T) {
+    At = this->targetByArrival(T, Now);
+    return At.has_value();
+  };
+  while (std::optional<Ticket> T = Q.take(Starts, 1))
+    this->start(*T, *At, Out);
+}
+
+// A read runs at the primary when no replica suits it or all that do are full.
+std::optional<TargetId> Dispatcher::targetByArrival(const Ticket &T, Instant Now) {
+  Choice Replica = T.ReplicaAllowed ? this->chooseReplica(T, Now) : Choice();
+  if (Replica.Result == Fit::Start)
+    return Replica.At;
+  if (Replica.Result == Fit::Opening || !this->primaryTakes(T))
+    return std::nullopt;
+  return this->State->Primary;
+}
+
 void Dispatcher::startPrimary(WorkClass Class, std::vector<Action> &Out) {
   FairQueue &Q = this->lane(Class, PrimaryLane);
   while (!Q.empty() && (Class == WorkClass::Short || this->longWithinLimit(PrimaryLane))) {
--- a/src/pool/dispatch.h
+++ b/src/pool/dispatch.h
@@ -3,6 +3,7 @@
 #ifndef TOUCAN_POOL_DISPATCH_H
 #define TOUCAN_POOL_DISPATCH_H
 
+#include "base/policy.h"
 #include "base/verdict.h"
 #include "group/watcher.h"
 #include "member/view.h"
@@ -23,6 +24,7 @@
   absl::Duration FloorWait = absl::Milliseconds(50);
   absl::Duration IdleConnection = absl::Seconds(60);
   uint64_t Seed = 1; // of the jitter
+  QueueOrder Order = QueueOrder::ByClassAndCaller;
 };
 
 enum class ActionKind : uint8_t {
@@ -120,6 +122,17 @@
     TargetId At;
   };
 
+  // What a queue order distinguishes, and how it starts waiting requests.
+  struct OrderStrategy {
+    bool ClassesAndCallers = true;
+    void (Dispatcher::*Start)(Instant Now, std::vector<Action> &Out) = nullptr;
+  };
+  static const OrderStrategy Orders[];
+
+  const OrderStrategy &order() const;
+  rules::WorkClass classOf(rules::WorkClass Class) const;
+  Lane laneOf(const Ticket &T) const;
+  void strip(Ticket &T) const;
   FairQueue &lane(rules::WorkClass Class, Lane L);
   const FairQueue &lane(rules::WorkClass Class, Lane L) const;
   TargetSlots *primary();
@@ -142,6 +155,9 @@
   void expire(Instant Now, std::vector<Action> &Out);
   void reviewParked(Instant Now);
   void startPinned(std::vector<Action> &Out);
+  void startByClass(Instant Now, std::vector<Action> &Out);
+  void startByArrival(Instant Now, std::vector<Action> &Out);
+  std::optional<TargetId> targetByArrival(const Ticket &T, Instant Now);
   void startPrimary(rules::WorkClass Class, std::vector<Action> &Out);
   void startReplica(rules::WorkClass Class, Instant Now, std::vector<Action> &Out);
   bool longIsOverdue(Instant Now) const;
--- a/src/pool/dispatch_test.cpp
+++ b/src/pool/dispatch_test.cpp
@@ -39,8 +39,8 @@
 
 // A group of three servers with three slots; both replicas have applied position 10.
 struct Bench {
-  explicit Bench(size_t QueueLimit = 1000)
-      : D({.QueueLimit = QueueLimit, .FloorWait = absl::Milliseconds(50)}) {
+  explicit Bench(size_t QueueLimit = 1000, QueueOrder Order = QueueOrder::ByClassAndCaller)
+      : D({.QueueLimit = QueueLimit, .FloorWait = absl::Milliseconds(50), .Order = Order}) {
     this->Group.Targets = {{.Id = P}, {.Id = R1}, {.Id = R2}};
     this->Group.SlotsPerTarget = 3;
     this->Group.ConnectionsPerTarget = 5;
@@ -304,3 +304,63 @@
   CHECK(B.D.load(P).Executing == 3);
   CHECK(B.D.load(P).Connections <= 5);
 }
+
+// Guards against a baseline that has classes, or turns between callers, and so measures no
+// difference.
+TEST_CASE("by arrival: one queue without classes, callers in turn or a reserved slot") {
+  Bench B(1000, QueueOrder::ByArrival);
+  B.D.admit(longTicket(1), T0);
+  B.D.admit(longTicket(2), T0);
+  B.D.admit(longTicket(3), T0);
+  for (uint64_t Id : {4, 5})
+    B.D.admit(ticket(Id, "busy"), T0);
+  B.D.admit(longTicket(6), T0);
+  B.D.admit(ticket(7, "quiet"), T0);
+  CHECK(ids(B.started()) == std::vector<uint64_t>{1, 2, 3});
+  for (int I = 0; I < 3; ++I)
+    B.end(P, WorkClass::Long);
+  CHECK(ids(B.started()) == std::vector<uint64_t>{4, 5, 6});
+  B.end(P);
+  CHECK(ids(B.started()) == std::vector<uint64_t>{7});
+}
+
+// Guards against a FIFO that is one queue for each kind of target.
+TEST_CASE("by arrival: a request that cannot start keeps later ones waiting, whatever target") {
+  Bench B(1000, QueueOrder::ByArrival);
+  for (uint64_t Id : {1, 2, 3, 4})
+    B.D.admit(ticket(Id), T0);
+  B.D.admit(readTicket(5, 10), T0);
+  CHECK(ids(B.started()) == std::vector<uint64_t>{1, 2, 3});
+  CHECK(B.D.queued() == 2);
+  B.end(P);
+  auto Started = B.started();
+  CHECK(ids(Started) == std::vector<uint64_t>{4, 5});
+  REQUIRE(Started.size() == 2);
+  CHECK(Started[1].second != P);
+}
+
+// Guards against a baseline that breaks the session guarantee, or never uses the replicas.
+TEST_CASE("by arrival: a read goes to a replica that has its floor, or at once to the primary") {
+  Bench B(1000, QueueOrder::ByArrival);
+  B.D.admit(readTicket(1, 10), T0);
+  auto Current = B.started();
+  REQUIRE(Current.size() == 1);
+  CHECK(Current[0].second != P);
+  B.D.admit(readTicket(2, 11), T0);
+  CHECK(B.started() == std::vector<std::pair<uint64_t, TargetId>>{{2, P}});
+}
+
+// Guards against a request that did not run and loses its place, or the count of its class.
+TEST_CASE("by arrival: a request that is put back starts first, and the queue has one limit") {
+  Bench B(2, QueueOrder::ByArrival);
+  B.D.admit(longTicket(1), T0);
+  CHECK(ids(B.started()) == std::vector<uint64_t>{1});
+  B.D.closed(P, false);
+  B.D.ended(P, WorkClass::Long, std::nullopt);
+  B.D.admit(ticket(2, "b"), T0);
+  B.D.requeue(longTicket(1));
+  auto Refused = B.D.admit(ticket(3, "c"), T0);
+  REQUIRE(Refused);
+  CHECK(Refused->Why == Reason::QueueFull);
+  CHECK(ids(B.started()) == std::vector<uint64_t>{1, 2});
+}
--- a/src/pool/pool.cpp
+++ b/src/pool/pool.cpp
@@ -62,7 +62,8 @@
   DispatchOptions Dispatch{.QueueLimit = this->Options.QueueLimit,
                            .FloorWait = this->Options.FloorWait,
                            .IdleConnection = this->Options.IdleConnection,
-                           .Seed = this->Options.Seed};
+                           .Seed = this->Options.Seed,
+                           .Order = this->Options.Order};
   auto D = std::make_unique<DatabaseState>(*G, Dispatch);
   D->Dispatch.setGroup(*G);
   DatabaseState *Out = D.get();
--- a/src/pool/pool.h
+++ b/src/pool/pool.h
@@ -25,6 +25,7 @@
   absl::Duration IdleInTransaction = absl::Seconds(60); // before a lease is ended
   absl::Duration IdleConnection = absl::Seconds(60);    // before an unused connection is closed
   uint64_t Seed = 1;
+  QueueOrder Order = QueueOrder::ByClassAndCaller;
 };
 
 // All calls happen in the pool loop.
--- a/src/session/machine.h
+++ b/src/session/machine.h
@@ -117,6 +117,7 @@
   void startRequest(Batch B, Instant Now, Actions &Out);
   void fillExec(const Batch &B, Instant Now);
   rules::Policy combinedPolicy(const Batch &B) const;
+  bool replicaMayServe(const Running &R) const;
   std::optional<Reason> refusalNow() const;
   void dispatch(Instant Now, Actions &Out);
   void failAttempt(Verdict V, Reason R, const std::string &Detail, absl::Duration RetryAfter,
@@ -163,6 +164,7 @@
   uint64_t Requests = 0;
 
   LogPosition Floor;
+  bool HasWritten = false; // here, or before the session moved with its token
   bool FloorKnown = false; // false: the first read asks for verification
 
   Instant TimerAt = absl::InfiniteFuture();
--- a/src/session/machine_input.cpp
+++ b/src/session/machine_input.cpp
@@ -249,6 +249,7 @@
   }
   this->Floor = std::max(this->Floor, Token.At);
   this->FloorKnown = true;
+  this->HasWritten = true;
   return std::nullopt;
 }
 
--- a/src/session/machine_request.cpp
+++ b/src/session/machine_request.cpp
@@ -114,6 +114,12 @@
   return All;
 }
 
+// Decides whether the policy lets a replica serve the request; the rules and the floor come on top.
+bool Machine::replicaMayServe(const Running &R) const {
+  bool AtPrimary = this->Common.Options.Reads == ReadsAfterWrite::AtPrimary && this->HasWritten;
+  return R.IsRead && !AtPrimary;
+}
+
 void Machine::fillExec(const Batch &B, Instant Now) {
   Running &R = *this->Request;
   const Transaction &Tx = this->State.Tx;
@@ -133,7 +139,8 @@
     E.add_hidden(Index);
   E.set_kind(R.IsRead ? proto::READ : Tx.open() || B.Begins ? proto::TRANSACTION : proto::WRITE);
   E.set_work_class(P.Class == rules::WorkClass::Long ? proto::LONG : proto::SHORT);
-  E.set_max_age_us(R.IsRead ? absl::ToInt64Microseconds(P.MaxAge) : 0);
+  this->HasWritten = this->HasWritten || B.Writes;
+  E.set_max_age_us(this->replicaMayServe(R) ? absl::ToInt64Microseconds(P.MaxAge) : 0);
   E.set_lease(Tx.Lease.Value);
   R.KeyFromSetting = B.RequestKey.empty() && B.Writes;
   E.set_request_key(R.KeyFromSetting ? *this->State.Settings.get(RequestIdSetting) : B.RequestKey);
--- a/src/session/machine_test.cpp
+++ b/src/session/machine_test.cpp
@@ -311,3 +311,36 @@
   }
   CHECK(Closed > 0);
 }
+
+// Guards against a baseline that reads from replicas after a write, and against a session that
+// leaves them before it has written.
+TEST_CASE("policy: where reads run after a write, also in a session that moved by its token") {
+  const char *Read = "query select * from stock";
+  auto Setup = [](Transcript &T, ReadsAfterWrite Reads, const char *Startup) {
+    T.Common.Options.Reads = Reads;
+    T.event("rules read database=orders table=stock max_age=30s # test");
+    T.event(Startup);
+  };
+  for (ReadsAfterWrite Reads : {ReadsAfterWrite::ByPosition, ReadsAfterWrite::AtPrimary}) {
+    bool ByPosition = Reads == ReadsAfterWrite::ByPosition;
+    CAPTURE(ByPosition);
+    Transcript T;
+    Setup(T, Reads, "startup user=moana database=orders");
+    CHECK(has(joined(T.event(Read)), "max_age=30000ms"));
+    T.event("done at=5/10 chunks=0");
+    T.event("query insert into stock values (1)");
+    T.event("done at=5/11 wrote=1 chunks=0");
+    for (int I = 0; I < 2; ++I) {
+      CHECK(has(joined(T.event(Read)), "max_age") == ByPosition);
+      T.event("done at=5/11 chunks=0");
+    }
+    Transcript Moved;
+    Setup(Moved, Reads, "startup user=moana database=orders toucanrun.token=@5/10");
+    CHECK(has(joined(Moved.event(Read)), "max_age") == ByPosition);
+    Transcript Unknown;
+    Setup(Unknown, Reads, "startup user=moana database=orders");
+    Unknown.event("query insert into stock values (1)");
+    Unknown.event("done verdict=may_have_run reason=target_lost chunks=0");
+    CHECK(has(joined(Unknown.event(Read)), "max_age") == ByPosition);
+  }
+}
--- a/src/session/session.h
+++ b/src/session/session.h
@@ -22,6 +22,7 @@
   absl::Duration LongRequestTimeout = absl::Seconds(3600); // of one request of class long
   absl::Duration StartupTimeout = absl::Seconds(10);       // from accept to the start-up packet
   uint64_t Seed = 1;
+  ReadsAfterWrite Reads = ReadsAfterWrite::ByPosition;
 };
 
 // All calls happen in the entry loop.
