Measure: share of reads that replicas serve, and policies as a dimension

Cause: the share was not measured, and no run could compare policies.

Ruled out: the write stream of the load tool, which runs on any idle connection. A share of writes on the same connections is new, given to sessions in random order: the most recently idle one would get most. The bound is not a formula of the rates: the floor depends on which reads the primary served, so it is computed from the requests of the run.

The pool has counted the reads served by replicas already.

Before: no figure.

No functional change

--- a/bench/load.cpp
+++ b/bench/load.cpp
@@ -29,6 +29,8 @@
 struct Job {
   size_t StreamIndex = 0;
   Instant Scheduled;
+  bool Write = false;
+  Instant Sent = absl::InfinitePast();
 };
 
 // Connection of one caller.
@@ -37,12 +39,13 @@
   using OnDone = std::function<void(Caller &, const Job &, Outcome)>;
   using OnIdle = std::function<void(Caller &)>;
 
-  Caller(Loop &L, Address A, const LoadOptions &Options, OnDone Done, OnIdle Idle)
-      : InLoop(L), To(std::move(A)), Options(Options), Done(std::move(Done)),
+  Caller(Loop &L, size_t Number, Address A, const LoadOptions &Options, OnDone Done, OnIdle Idle)
+      : InLoop(L), Number(Number), To(std::move(A)), Options(Options), Done(std::move(Done)),
         Idle(std::move(Idle)) {}
   ~Caller() { this->closeSocket(); }
 
   void connect();
+  size_t number() const { return this->Number; }
   bool idle() const { return this->Ready && !this->Current; }
   void send(Job J, const std::string &Sql, Instant Deadline);
   // The request under way, at the end of the run.
@@ -57,6 +60,7 @@
   void closeSocket();
 
   Loop &InLoop;
+  size_t Number;
   Address To;
   const LoadOptions &Options;
   OnDone Done;
@@ -183,9 +187,9 @@
   void closedCallers();
   void scheduleArrivals();
   void arrive();
-  void onDone(const Job &J, Outcome O);
+  void onDone(const Caller &C, const Job &J, Outcome O);
   void onIdle(Caller &C);
-  void give(Caller &C, const Job &J);
+  void give(Caller &C, Job J);
   Caller &addCaller(Caller::OnIdle Idle);
 
   const LoadOptions &Options;
@@ -214,8 +218,8 @@
 Caller &Run::addCaller(Caller::OnIdle Idle) {
   const Address &A = this->Options.Proxies[this->Callers.size() % this->Options.Proxies.size()];
   this->Callers.push_back(std::make_unique<Caller>(
-      this->L, A, this->Options, [this](Caller &, const Job &J, Outcome O) { this->onDone(J, O); },
-      std::move(Idle)));
+      this->L, this->Callers.size(), A, this->Options,
+      [this](Caller &C, const Job &J, Outcome O) { this->onDone(C, J, O); }, std::move(Idle)));
   return *this->Callers.back();
 }
 
@@ -266,11 +270,15 @@
 // Gives due requests to idle callers, the oldest first.
 void Run::arrive() {
   while (!this->IdleCallers.empty() && !this->Backlog.empty()) {
+    Job J = this->Backlog.front();
+    // Sessions that write get their requests in random order; the last one would get most of them.
+    if (this->Options.Streams[J.StreamIndex].WriteShare > 0)
+      std::swap(this->IdleCallers[this->Random() % this->IdleCallers.size()],
+                this->IdleCallers.back());
     Caller *C = this->IdleCallers.back();
     this->IdleCallers.pop_back();
     if (!C->idle())
       continue;
-    Job J = this->Backlog.front();
     this->Backlog.pop_front();
     this->give(*C, J);
   }
@@ -286,17 +294,26 @@
   this->give(C, J);
 }
 
-void Run::give(Caller &C, const Job &J) {
-  std::string Sql = absl::StrReplaceAll(this->Options.Streams[J.StreamIndex].Sql,
-                                        {{"%d", absl::StrCat(++this->Numbers)}});
+void Run::give(Caller &C, Job J) {
+  const Stream &S = this->Options.Streams[J.StreamIndex];
+  std::uniform_real_distribution<double> Share(0, 1);
+  J.Write = S.WriteShare > 0 && Share(this->Random) < S.WriteShare;
+  J.Sent = monotonicNow();
+  std::string Sql =
+      absl::StrReplaceAll(J.Write ? S.WriteSql : S.Sql, {{"%d", absl::StrCat(++this->Numbers)}});
   C.send(J, Sql, J.Scheduled + this->Options.Deadline);
 }
 
-void Run::onDone(const Job &J, Outcome O) {
+void Run::onDone(const Caller &C, const Job &J, Outcome O) {
   StreamResult &R = this->Results[J.StreamIndex];
   ++R.Outcomes[static_cast<size_t>(O)];
-  double Ms = absl::ToDoubleMilliseconds(monotonicNow() - J.Scheduled);
-  if (O == Outcome::Good || O == Outcome::Late)
+  Instant Now = monotonicNow();
+  double Ms = absl::ToDoubleMilliseconds(Now - J.Scheduled);
+  bool Answered = O == Outcome::Good || O == Outcome::Late;
+  if (Answered && this->Options.Streams[J.StreamIndex].WriteShare > 0)
+    R.Answered.push_back(
+        {.Session = C.number(), .Write = J.Write, .Sent = J.Sent, .Answered = Now});
+  if (Answered)
     R.AnsweredMs.push_back(Ms);
   else if (O == Outcome::NotRun)
     R.RefusedMs.push_back(Ms);
@@ -338,6 +355,38 @@
   return Samples[Index];
 }
 
+double replicaReadBound(std::vector<SessionRequest> Requests, absl::Duration Lag,
+                        absl::Duration Wait) {
+  std::vector<SessionRequest> Writes;
+  for (const SessionRequest &R : Requests)
+    if (R.Write)
+      Writes.push_back(R);
+  std::sort(Writes.begin(), Writes.end(),
+            [](const auto &A, const auto &B) { return A.Answered < B.Answered; });
+  std::sort(Requests.begin(), Requests.end(),
+            [](const auto &A, const auto &B) { return A.Sent < B.Sent; });
+  std::map<size_t, Instant> Floors; // sending time of the floor's last write, for each session
+  Instant Last = absl::InfinitePast();
+  size_t NextWrite = 0;
+  double Reads = 0;
+  double ByReplica = 0;
+  for (const SessionRequest &R : Requests) {
+    for (; NextWrite < Writes.size() && Writes[NextWrite].Answered <= R.Sent; ++NextWrite)
+      Last = std::max(Last, Writes[NextWrite].Sent);
+    auto Floor = Floors.emplace(R.Session, R.Write ? R.Sent : Last).first;
+    if (R.Write) {
+      Floor->second = std::max(Floor->second, R.Sent);
+      continue;
+    }
+    ++Reads;
+    if (Floor->second + Lag <= R.Sent + Wait)
+      ++ByReplica;
+    else
+      Floor->second = std::max(Floor->second, Last);
+  }
+  return Reads == 0 ? 0 : ByReplica / Reads;
+}
+
 std::vector<StreamResult> runLoad(const LoadOptions &Options) { return Run(Options).finish(); }
 
 } // namespace toucan::bench
--- a/bench/load.h
+++ b/bench/load.h
@@ -29,6 +29,8 @@
   std::string Sql;          // %d is replaced by a number that grows with each request
   double PerSecond = 0;     // open-loop arrivals; 0: closed loop
   size_t ClosedCallers = 0; // closed loop: callers that send the next request after each answer
+  double WriteShare = 0;    // of the open-loop requests, on the same connections
+  std::string WriteSql;     // as Sql
 };
 
 struct LoadOptions {
@@ -57,11 +59,20 @@
 inline constexpr size_t OutcomeCount = static_cast<size_t>(Outcome::Count);
 std::string_view outcomeName(Outcome O);
 
+// An answered request of a session.
+struct SessionRequest {
+  size_t Session = 0;
+  bool Write = false;
+  Instant Sent;
+  Instant Answered;
+};
+
 struct StreamResult {
   std::string Name;
   std::array<uint64_t, OutcomeCount> Outcomes{};
-  std::vector<double> AnsweredMs; // latencies of good and late answers
-  std::vector<double> RefusedMs;  // latencies of NotRun refusals
+  std::vector<double> AnsweredMs;       // latencies of good and late answers
+  std::vector<double> RefusedMs;        // latencies of NotRun refusals
+  std::vector<SessionRequest> Answered; // of a stream with writes
 
   uint64_t sent() const;
 };
@@ -69,6 +80,16 @@
 // The value below which the share Q (0 to 1) of the samples lies; 0 without samples.
 double quantile(std::vector<double> Samples, double Q);
 
+// The largest share of the reads, 0 to 1, that replicas may serve under the session guarantee when
+// they apply each write Lag after it was sent at the earliest and a read waits at most Wait for
+// them. Each read is judged in the order of sending. The floor of a session is the last of these
+// writes: its own; and for its first read, and for each read that the primary serves (monotonic
+// reads), every write that was answered before. A replica may serve a read once the floor is
+// applied, which is counted from the sending of the floor's writes, so that the figure is an upper
+// bound. 0 without reads.
+double replicaReadBound(std::vector<SessionRequest> Requests, absl::Duration Lag,
+                        absl::Duration Wait);
+
 // Runs the load in its own loop and returns one result for each stream.
 std::vector<StreamResult> runLoad(const LoadOptions &Options);
 
--- a/bench/load_main.cpp
+++ b/bench/load_main.cpp
@@ -51,6 +51,24 @@
      .Max = 100000,
      .Help = "Arrivals of writes, 1/s."},
     {.Name = "write-sql", .Default = "", .Help = "Write; %d: a number."},
+    {.Name = "write-percent",
+     .Kind = SettingKind::Integer,
+     .Default = "0",
+     .Min = 0,
+     .Max = 100,
+     .Help = "Share of the short requests that are the write instead, on the same connections, %."},
+    {.Name = "bound-lag-ms",
+     .Kind = SettingKind::Integer,
+     .Default = "0",
+     .Min = 0,
+     .Max = 3600000,
+     .Help = "Lag of the replicas, for the bound on the reads that they may serve, ms."},
+    {.Name = "bound-wait-ms",
+     .Kind = SettingKind::Integer,
+     .Default = "50",
+     .Min = 0,
+     .Max = 3600000,
+     .Help = "Time a read waits for a replica that is behind, for the bound, ms."},
     {.Name = "long-callers",
      .Kind = SettingKind::Integer,
      .Default = "0",
@@ -108,7 +126,9 @@
   O.Seed = static_cast<uint64_t>(V.integer("seed"));
   O.Streams.push_back({.Name = "short",
                        .Sql = V.text("short-sql"),
-                       .PerSecond = static_cast<double>(V.integer("short-rate"))});
+                       .PerSecond = static_cast<double>(V.integer("short-rate")),
+                       .WriteShare = static_cast<double>(V.integer("write-percent")) / 100,
+                       .WriteSql = V.text("write-sql")});
   if (V.integer("write-rate") > 0)
     O.Streams.push_back({.Name = "write",
                          .Sql = V.text("write-sql"),
@@ -120,11 +140,13 @@
   return O;
 }
 
-void print(const StreamResult &R) {
+void print(const StreamResult &R, absl::Duration Lag, absl::Duration Wait) {
   std::printf("stream=%s sent=%llu", R.Name.c_str(), static_cast<unsigned long long>(R.sent()));
   for (size_t I = 0; I < OutcomeCount; ++I)
     std::printf(" %s=%llu", std::string(outcomeName(static_cast<Outcome>(I))).c_str(),
                 static_cast<unsigned long long>(R.Outcomes[I]));
+  if (!R.Answered.empty())
+    std::printf(" bound=%.4f", replicaReadBound(R.Answered, Lag, Wait));
   std::printf(" p50=%.2f p99=%.2f max=%.2f refused_p99=%.2f\n", quantile(R.AnsweredMs, 0.5),
               quantile(R.AnsweredMs, 0.99), quantile(R.AnsweredMs, 1), quantile(R.RefusedMs, 0.99));
 }
@@ -148,6 +170,7 @@
     return 2;
   }
   for (const StreamResult &R : runLoad(*Options))
-    print(R);
+    print(R, absl::Milliseconds(Line->Settings.integer("bound-lag-ms")),
+          absl::Milliseconds(Line->Settings.integer("bound-wait-ms")));
   return 0;
 }
--- a/bench/load_test.cpp
+++ b/bench/load_test.cpp
@@ -29,3 +29,31 @@
   CHECK(Results[0].Outcomes[static_cast<size_t>(Outcome::Unanswered)] == 3);
   CHECK(Results[0].sent() == 3);
 }
+
+// Guards against a bound that is too low, which would make the measured share look better than what
+// the guarantee allows, or that leaves out the floor that a read at the primary brings.
+TEST_CASE(
+    "bound on replica reads: own writes, first reads and reads at the primary set the floor") {
+  auto At = [](int Ms) { return toucan::Instant() + absl::Milliseconds(Ms); };
+  auto Request = [&](size_t Session, bool Write, int Ms) {
+    return SessionRequest{
+        .Session = Session, .Write = Write, .Sent = At(Ms), .Answered = At(Ms + 5)};
+  };
+  absl::Duration Lag = absl::Milliseconds(100);
+  absl::Duration None = absl::ZeroDuration();
+  CHECK(replicaReadBound({}, Lag, None) == 0);
+  CHECK(replicaReadBound({Request(1, true, 0)}, Lag, None) == 0);
+  std::vector<SessionRequest> Own = {Request(1, true, 0), Request(1, false, 99),
+                                     Request(1, false, 100)};
+  CHECK(replicaReadBound(Own, Lag, None) == 0.5);
+  CHECK(replicaReadBound(Own, Lag, absl::Milliseconds(1)) == 1);
+  CHECK(replicaReadBound(Own, None, None) == 1);
+  // A session that reads first has the writes of others in its floor; later ones do not matter.
+  CHECK(replicaReadBound({Request(1, true, 0), Request(2, false, 50)}, Lag, None) == 0);
+  CHECK(replicaReadBound({Request(2, false, 0), Request(1, true, 10), Request(2, false, 50)}, Lag,
+                         None) == 1);
+  // The read at 50 goes to the primary, so that the write at 40 belongs to the floor.
+  CHECK(replicaReadBound({Request(1, true, 0), Request(2, true, 40), Request(1, false, 50),
+                          Request(1, false, 110), Request(1, false, 140)},
+                         Lag, None) == doctest::Approx(1.0 / 3));
+}
--- a/scripts/measure.sh
+++ b/scripts/measure.sh
@@ -1,14 +1,16 @@
 #!/usr/bin/env bash
-# Measures blocking of short work behind long work, service in a reconnect surge, and the failover
-# gap, with real processes on loopback. Prints one line of key=value pairs a run.
-# Usage: scripts/measure.sh blocking|surge|failover|split [RUNS]   (default 5 runs)
+# Measures blocking of short work behind long work, service in a reconnect surge, the failover gap,
+# and the share of reads that replicas serve, with real processes on loopback. Prints one line of
+# key=value pairs a run.
+# Usage: scripts/measure.sh blocking|surge|failover|split|reads [RUNS]   (default 5 runs)
+# POLICIES: policies of toucanrund to measure, for blocking, surge and reads (default "toucan").
 set -euo pipefail
 cd "$(dirname "$0")/.."
 what=${1:-}
 runs=${2:-5}
 case "$what" in
-  blocking|surge|failover|split) ;;
-  *) echo "usage: scripts/measure.sh blocking|surge|failover|split [RUNS]" >&2; exit 2 ;;
+  blocking|surge|failover|split|reads) ;;
+  *) echo "usage: scripts/measure.sh blocking|surge|failover|split|reads [RUNS]" >&2; exit 2 ;;
 esac
 scripts/build.sh plain toucanrund toucanctl toucan-load standin-db standin-platform
 bin=$PWD/build
@@ -57,8 +59,8 @@
   )
   for run in $(seq "$runs"); do
     for at in ${PLACES:-primary replica}; do
-      for long in 0 1 3 9; do
-        echo "measure=blocking run=$run at=$at long=$long $(load --callers=40 --short-rate=100 \
+      for long in ${LONG_CALLERS:-0 1 3 9}; do
+        echo "measure=blocking policy=$policy run=$run at=$at long=$long $(load --callers=40 --short-rate=100 \
           --short-sql='select sleep_ms(5) from stock' --long-callers="$long" \
           --long-sql="${sql_at[$at]}" --duration-ms=6000 --deadline-ms=2000 \
           --seed="$run" | tr '\n' ' ')"
@@ -72,7 +74,7 @@
   local run factor
   for run in $(seq "$runs"); do
     for factor in 5 20; do
-      echo "measure=surge run=$run factor=$factor $(load --mode=surge --callers=$((400 * factor)) \
+      echo "measure=surge policy=$policy run=$run factor=$factor $(load --mode=surge --callers=$((400 * factor)) \
         --short-sql='select sleep_ms(5) from stock' --duration-ms=6000 --deadline-ms=4000 \
         --seed="$run")"
     done
@@ -156,11 +158,68 @@
   done
 }
 
+# Prints the sum of a counter over all proxies. Usage: counter NAME
+counter() {
+  local port
+  for port in "${proxy_http[@]}"; do curl -sf "http://127.0.0.1:$port/metrics"; done |
+    awk -v name="toucanrun_$1" '$1 == name {sum += $2} END {print sum + 0}'
+}
+
+# Share of reads that replicas serve, by their lag, the share of writes and the policy: 200 sessions
+# mix reads and writes at 100/s in all, so that the mean gap in a session is 2 s. "bound" is what
+# the session guarantee allows; see replicaReadBound() in bench/load.h. The run is longer than the
+# lag, and each starts when the writes of the one before have been applied.
+measure_reads() {
+  local lag percent run duration primary replica
+  for lag in ${LAGS:-0 100 1000 10000}; do
+    STANDIN_DB_LAG_MS=$lag restart_all
+    create_tables
+    echo "read database=orders table=stock max_age=30s # stock may lag: depots" >"$work/rules.txt"
+    "$bin/toucanctl" rules apply "$work/rules.txt" --base=0 >/dev/null
+    duration=$((lag < 10000 ? 8000 : lag * 2))
+    for percent in 1 10 30; do
+      for run in $(seq "$runs"); do
+        sleep "$((lag / 1000 + 1))"
+        primary=$(counter pool_served_reads_primary_total)
+        replica=$(counter pool_served_reads_replica_total)
+        echo "measure=reads policy=$policy run=$run lag_ms=$lag writes=$percent% $(load \
+          --callers=200 --short-rate=100 --short-sql='select v from stock where id = 1' \
+          --write-percent="$percent" --write-sql="update stock set v = 'kerb %d' where id = 1" \
+          --bound-lag-ms="$lag" --duration-ms="$duration" --deadline-ms=1000 --seed="$run") $(
+          awk -v p="$primary" -v r="$replica" -v p2="$(counter pool_served_reads_primary_total)" \
+            -v r2="$(counter pool_served_reads_replica_total)" 'BEGIN {
+              p = p2 - p; r = r2 - r
+              printf "reads=%d by_replica=%d share=%.4f", p + r, r, p + r ? r / (p + r) : 0 }')"
+      done
+    done
+  done
+}
+
+# Ends all processes and starts new ones without data.
+restart_all() {
+  stop_all
+  all_pids=() proxy_pid=() proxy_port=() proxy_link=() proxy_http=()
+  rm -rf "$work"/data-*
+  start_all
+}
+
 if [ "$what" = split ]; then
   start_platform
-else
+elif [ "$what" = failover ]; then
   start_all
   prepare
 fi
 echo "commit=$(git rev-parse --short HEAD) cores=$(nproc) load=$(cut -d' ' -f1 /proc/loadavg)"
-"measure_$what"
+case "$what" in
+  split | failover) "measure_$what" ;;
+  *)
+    for policy in ${POLICIES:-toucan}; do
+      export TOUCANRUN_POLICY=$policy
+      if [ "$what" != reads ]; then
+        restart_all
+        prepare
+      fi
+      "measure_$what"
+    done
+    ;;
+esac
--- a/scripts/summary.sh
+++ b/scripts/summary.sh
@@ -18,7 +18,7 @@
   for (i = 1; i <= NF; i++) {
     split($i, p, "=")
     if (p[1] == "run") continue
-    if (p[1] == "measure" || p[1] == "long" || p[1] == "factor" || p[1] == "at" || p[1] == "fault") { base = base (base == "" ? "" : " ") $i; key = base; continue }
+    if (p[1] == "measure" || p[1] == "policy" || p[1] == "lag_ms" || p[1] == "writes" || p[1] == "long" || p[1] == "factor" || p[1] == "at" || p[1] == "fault") { base = base (base == "" ? "" : " ") $i; key = base; continue }
     if (p[1] == "stream") { key = base " " $i; continue }
     if (!(key in seen)) { seen[key] = 1; keys[++count] = key }
     add(p[1], p[2])
@@ -26,7 +26,7 @@
   }
 }
 END {
-  columns = split("gap_ms missing sent good late not_run may_have_run failed lost unanswered p50 p99 max refused_p99", want, " ")
+  columns = split("gap_ms missing sent good late not_run may_have_run failed lost unanswered reads share bound p50 p99 max refused_p99", want, " ")
   for (c = 1; c <= columns; c++) if ((want[c] in used) || (want[c] == "missing" && (want[c] in names))) shown[++shownCount] = want[c]
   printf "| case | runs |"
   for (c = 1; c <= shownCount; c++) printf " %s |", shown[c]
