--- a/src/base/base.h
+++ b/src/base/base.h
@@ -1,4 +1,4 @@
-// Public header of the base library: ids, time, errors, verdicts, counters, logs, settings, policies, loop.
+// Public header of the base library: ids, time, errors, verdicts, counters, logs, settings, loop.
 #ifndef TOUCAN_BASE_BASE_H
 #define TOUCAN_BASE_BASE_H
 
