--- a/bench/load.cpp
+++ b/bench/load.cpp
@@ -36,6 +36,7 @@
   size_t StreamIndex = 0;
   Instant Scheduled;
   std::string Sql; // of the first try; empty before it
+  bool Write = false;
   uint32_t Tries = 0;
   bool OpenLoop = false;
 };
@@ -45,6 +46,7 @@
   Outcome Of = Outcome::Good;
   Instant Sent;
   std::optional<absl::Duration> RetryAfter; // hint of a refusal
+  size_t Session = 0;                       // number of the connection
 };
 
 // Connection of one caller.
@@ -54,11 +56,13 @@
   using OnIdle = std::function<void(Caller &)>;
 
   // Connects to the proxy with this index first.
-  Caller(Loop &L, size_t Proxy, const LoadOptions &Options, OnDone Done, OnIdle Idle)
-      : InLoop(L), Proxy(Proxy), Options(Options), Done(std::move(Done)), Idle(std::move(Idle)) {}
+  Caller(Loop &L, size_t Number, size_t Proxy, const LoadOptions &Options, OnDone Done, OnIdle Idle)
+      : InLoop(L), Number(Number), Proxy(Proxy), Options(Options), Done(std::move(Done)),
+        Idle(std::move(Idle)) {}
   ~Caller() { this->closeSocket(); }
 
   void connect();
+  size_t number() const { return this->Number; }
   bool idle() const { return this->Ready && !this->Current; }
   void send(Job J, Instant Deadline);
   // The request under way, at the end of the run.
@@ -74,6 +78,7 @@
   void closeSocket();
 
   Loop &InLoop;
+  size_t Number;
   size_t Proxy;
   const LoadOptions &Options;
   OnDone Done;
@@ -190,7 +195,8 @@
   this->Current.reset();
   this->Done(std::move(J), {.Of = this->ErrorOutcome.value_or(O),
                             .Sent = this->Sent,
-                            .RetryAfter = this->ErrorRetryAfter});
+                            .RetryAfter = this->ErrorRetryAfter,
+                            .Session = this->Number});
 }
 
 // Reports the request under way and connects to the next proxy after a pause.
@@ -256,7 +262,7 @@
 Caller &Run::addCaller(Caller::OnIdle Idle) {
   size_t Proxy = this->Callers.size() % this->Options.Proxies.size();
   this->Callers.push_back(std::make_unique<Caller>(
-      this->L, Proxy, this->Options,
+      this->L, this->Callers.size(), Proxy, this->Options,
       [this](Job J, const TryEnd &E) { this->onDone(std::move(J), E); }, std::move(Idle)));
   return *this->Callers.back();
 }
@@ -308,6 +314,11 @@
 // Gives due requests to idle callers, the oldest first.
 void Run::arrive() {
   while (!this->IdleCallers.empty() && !this->Backlog.empty()) {
+    Job J = this->Backlog.front();
+    // Sessions that write get their requests in random order; the last one would get most of them.
+    if (this->Options.Streams[J.StreamIndex].WriteShare > 0)
+      std::swap(this->IdleCallers[this->Random() % this->IdleCallers.size()],
+                this->IdleCallers.back());
     Caller *C = this->IdleCallers.back();
     this->IdleCallers.pop_back();
     if (!C->idle())
@@ -329,9 +340,13 @@
 }
 
 void Run::give(Caller &C, Job J) {
-  if (J.Sql.empty())
-    J.Sql = absl::StrReplaceAll(this->Options.Streams[J.StreamIndex].Sql,
-                                {{"%d", absl::StrCat(++this->Numbers)}});
+  const Stream &S = this->Options.Streams[J.StreamIndex];
+  if (J.Sql.empty()) {
+    std::uniform_real_distribution<double> Share(0, 1);
+    J.Write = S.WriteShare > 0 && Share(this->Random) < S.WriteShare;
+    J.Sql =
+        absl::StrReplaceAll(J.Write ? S.WriteSql : S.Sql, {{"%d", absl::StrCat(++this->Numbers)}});
+  }
   ++J.Tries;
   ++this->Results[J.StreamIndex].Tries;
   Instant Deadline = J.Scheduled + this->Options.Deadline;
@@ -341,7 +356,8 @@
 // Decides whether a request is sent again, and after which time; empty when this try was its last.
 std::optional<absl::Duration> Run::pauseBeforeReturn(const Job &J, const TryEnd &E) {
   bool MayHaveRun = E.Of == Outcome::MayHaveRun || E.Of == Outcome::Lost;
-  bool Safe = E.Of == Outcome::NotRun || (MayHaveRun && this->Options.Streams[J.StreamIndex].Read);
+  bool Safe = E.Of == Outcome::NotRun ||
+              (MayHaveRun && !J.Write && this->Options.Streams[J.StreamIndex].Read);
   if (!this->Options.RefusedReturn || !J.OpenLoop || !Safe)
     return std::nullopt;
   constexpr uint32_t MaxDoublings = 6;
@@ -372,7 +388,10 @@
   }
   ++R.Outcomes[static_cast<size_t>(E.Of)];
   double Ms = absl::ToDoubleMilliseconds(Now - J.Scheduled);
-  if (E.Of == Outcome::Good || E.Of == Outcome::Late)
+  bool Answered = E.Of == Outcome::Good || E.Of == Outcome::Late;
+  if (Answered && this->Options.Streams[J.StreamIndex].WriteShare > 0)
+    R.Answered.push_back({.Session = E.Session, .Write = J.Write, .Sent = E.Sent, .Answered = Now});
+  if (Answered)
     R.AnsweredMs.push_back(Ms);
   else if (E.Of == Outcome::NotRun)
     R.RefusedMs.push_back(Ms);
@@ -429,6 +448,38 @@
   return absl::Milliseconds(Ms);
 }
 
+double replicaReadBound(std::vector<SessionRequest> Requests, absl::Duration Lag,
+                        absl::Duration Wait) {
+  std::vector<SessionRequest> Writes;
+  for (const SessionRequest &R : Requests)
+    if (R.Write)
+      Writes.push_back(R);
+  std::sort(Writes.begin(), Writes.end(),
+            [](const auto &A, const auto &B) { return A.Answered < B.Answered; });
+  std::sort(Requests.begin(), Requests.end(),
+            [](const auto &A, const auto &B) { return A.Sent < B.Sent; });
+  std::map<size_t, Instant> Floors; // sending time of the floor's last write, for each session
+  Instant Last = absl::InfinitePast();
+  size_t NextWrite = 0;
+  double Reads = 0;
+  double ByReplica = 0;
+  for (const SessionRequest &R : Requests) {
+    for (; NextWrite < Writes.size() && Writes[NextWrite].Answered <= R.Sent; ++NextWrite)
+      Last = std::max(Last, Writes[NextWrite].Sent);
+    auto Floor = Floors.emplace(R.Session, R.Write ? R.Sent : Last).first;
+    if (R.Write) {
+      Floor->second = std::max(Floor->second, R.Sent);
+      continue;
+    }
+    ++Reads;
+    if (Floor->second + Lag <= R.Sent + Wait)
+      ++ByReplica;
+    else
+      Floor->second = std::max(Floor->second, Last);
+  }
+  return Reads == 0 ? 0 : ByReplica / Reads;
+}
+
 std::vector<StreamResult> runLoad(const LoadOptions &Options) { return Run(Options).finish(); }
 
 } // namespace toucan::bench
--- a/bench/load.h
+++ b/bench/load.h
@@ -32,6 +32,8 @@
   double PerSecond = 0;     // open-loop arrivals; 0: closed loop
   size_t ClosedCallers = 0; // closed loop: callers that send the next request after each answer
   bool Read = false;        // may be sent again although it may have run
+  double WriteShare = 0;    // of the open-loop requests, on the same connections
+  std::string WriteSql;     // as Sql
 };
 
 struct LoadOptions {
@@ -68,15 +70,24 @@
 inline constexpr size_t OutcomeCount = static_cast<size_t>(Outcome::Count);
 std::string_view outcomeName(Outcome O);
 
+// An answered request of a session.
+struct SessionRequest {
+  size_t Session = 0;
+  bool Write = false;
+  Instant Sent;
+  Instant Answered;
+};
+
 struct StreamResult {
   std::string Name;
   std::array<uint64_t, OutcomeCount> Outcomes{};
-  std::vector<double> AnsweredMs; // latencies of good and late answers
-  std::vector<double> RefusedMs;  // latencies of requests that ended as NotRun
-  uint64_t Tries = 0;             // requests sent, those that were sent again included
-  uint64_t RefusedAtOnce = 0;     // tries refused as not run within RefusedAtOnceLimit
-  uint64_t RefusedLater = 0;      // tries refused as not run after a longer wait
-  uint64_t LostTries = 0;         // tries whose connection ended without an answer
+  std::vector<double> AnsweredMs;       // latencies of good and late answers
+  std::vector<double> RefusedMs;        // latencies of requests that ended as NotRun
+  std::vector<SessionRequest> Answered; // of a stream with writes
+  uint64_t Tries = 0;                   // requests sent, those that were sent again included
+  uint64_t RefusedAtOnce = 0;           // tries refused as not run within RefusedAtOnceLimit
+  uint64_t RefusedLater = 0;            // tries refused as not run after a longer wait
+  uint64_t LostTries = 0;               // tries whose connection ended without an answer
 
   uint64_t sent() const;
 };
@@ -86,6 +97,15 @@
 
 // The pause that a refusal asks for in its hint field ("retry after 250 ms"); empty without one.
 std::optional<absl::Duration> retryAfter(std::string_view Hint);
+// The largest share of the reads, 0 to 1, that replicas may serve under the session guarantee when
+// they apply each write Lag after it was sent at the earliest and a read waits at most Wait for
+// them. Each read is judged in the order of sending. The floor of a session is the last of these
+// writes: its own; and for its first read, and for each read that the primary serves (monotonic
+// reads), every write that was answered before. A replica may serve a read once the floor is
+// applied, which is counted from the sending of the floor's writes, so that the figure is an upper
+// bound. 0 without reads.
+double replicaReadBound(std::vector<SessionRequest> Requests, absl::Duration Lag,
+                        absl::Duration Wait);
 
 // Runs the load in its own loop and returns one result for each stream.
 std::vector<StreamResult> runLoad(const LoadOptions &Options);
--- a/bench/load_main.cpp
+++ b/bench/load_main.cpp
@@ -52,6 +52,24 @@
      .Max = 100000,
      .Help = "Arrivals of writes, 1/s."},
     {.Name = "write-sql", .Default = "", .Help = "Write; %d: a number."},
+    {.Name = "write-percent",
+     .Kind = SettingKind::Integer,
+     .Default = "0",
+     .Min = 0,
+     .Max = 100,
+     .Help = "Share of the short requests that are the write instead, on the same connections, %."},
+    {.Name = "bound-lag-ms",
+     .Kind = SettingKind::Integer,
+     .Default = "0",
+     .Min = 0,
+     .Max = 3600000,
+     .Help = "Lag of the replicas, for the bound on the reads that they may serve, ms."},
+    {.Name = "bound-wait-ms",
+     .Kind = SettingKind::Integer,
+     .Default = "50",
+     .Min = 0,
+     .Max = 3600000,
+     .Help = "Time a read waits for a replica that is behind, for the bound, ms."},
     {.Name = "long-callers",
      .Kind = SettingKind::Integer,
      .Default = "0",
@@ -122,7 +140,9 @@
   O.Streams.push_back({.Name = "short",
                        .Sql = V.text("short-sql"),
                        .PerSecond = static_cast<double>(V.integer("short-rate")),
-                       .Read = absl::StartsWithIgnoreCase(V.text("short-sql"), "select ")});
+                       .Read = absl::StartsWithIgnoreCase(V.text("short-sql"), "select "),
+                       .WriteShare = static_cast<double>(V.integer("write-percent")) / 100,
+                       .WriteSql = V.text("write-sql")});
   if (V.integer("write-rate") > 0)
     O.Streams.push_back({.Name = "write",
                          .Sql = V.text("write-sql"),
@@ -134,7 +154,7 @@
   return O;
 }
 
-void print(const StreamResult &R) {
+void print(const StreamResult &R, absl::Duration Lag, absl::Duration Wait) {
   std::printf("stream=%s sent=%llu", R.Name.c_str(), static_cast<unsigned long long>(R.sent()));
   for (size_t I = 0; I < OutcomeCount; ++I)
     std::printf(" %s=%llu", std::string(outcomeName(static_cast<Outcome>(I))).c_str(),
@@ -144,6 +164,8 @@
               static_cast<unsigned long long>(R.RefusedAtOnce),
               static_cast<unsigned long long>(R.RefusedLater),
               static_cast<unsigned long long>(R.LostTries));
+  if (!R.Answered.empty())
+    std::printf(" bound=%.4f", replicaReadBound(R.Answered, Lag, Wait));
   std::printf(" p50=%.2f p99=%.2f max=%.2f refused_p99=%.2f\n", quantile(R.AnsweredMs, 0.5),
               quantile(R.AnsweredMs, 0.99), quantile(R.AnsweredMs, 1), quantile(R.RefusedMs, 0.99));
 }
@@ -167,6 +189,7 @@
     return 2;
   }
   for (const StreamResult &R : runLoad(*Options))
-    print(R);
+    print(R, absl::Milliseconds(Line->Settings.integer("bound-lag-ms")),
+          absl::Milliseconds(Line->Settings.integer("bound-wait-ms")));
   return 0;
 }
--- a/src/base/base.h
+++ b/src/base/base.h
@@ -7,6 +7,7 @@
 #include "base/log.h"
 #include "base/loop.h"
 #include "base/metrics.h"
+#include "base/policy.h"
 #include "base/settings.h"
 #include "base/verdict.h"
 
