Group: the monitor names an observer that reaches the primary

Cause: when only the owner cannot reach a healthy primary, the primary stays, but the answer of the second observer was used for nothing else, so nobody learned where requests could run. Change: the positive answer of an observer sets a hint (observer, primary, term, valid for 2 s) that GroupState publishes. Each further answer renews it. It ends when the owner reaches the primary, when the primary or the ownership changes, when the observer is no longer a live member, or after 2 s. The observer of the hint is asked first and its answer is waited for, so that requests do not move between observers that both reach the primary. The pause between two questions is now 1 to 1.5 s instead of 1 to 2 s: with the 400 ms of a question it has to stay below the validity. Events primary_redirected and primary_redirect_ended, reasons primary_not_reached and retry_redirected at the end of the enumeration, because messages carry its numbers. Conclusion: the hint is available to the pool; requests do not use it yet.

--- a/src/base/verdict.cpp
+++ b/src/base/verdict.cpp
@@ -69,6 +69,10 @@
     {Reason::RetryLinkLost, "retry_link_lost", "00000", Not, Retry, "link lost"},
     {Reason::RetryReplicaBehind, "retry_replica_behind", "00000", Not, Retry, "replica behind"},
     {Reason::SafePath, "safe_path", "00000", Not, Retry, "session token not valid"},
+    {Reason::PrimaryNotReached, "primary_not_reached", "57P03", Not, Refuse,
+     "the owning instance does not reach the primary"},
+    {Reason::RetryRedirected, "retry_redirected", "00000", Not, Retry,
+     "another instance reaches the primary"},
 }};
 
 // Rows are found by index, so the table must follow the enumeration.
--- a/src/base/verdict.h
+++ b/src/base/verdict.h
@@ -48,6 +48,9 @@
   RetryLinkLost,      // read sent again after its link was lost
   RetryReplicaBehind, // replica did not reach the floor in time, primary tried
   SafePath,           // token not valid: the floor was read from the primary
+  // Added later: messages between instances carry the number of a reason.
+  PrimaryNotReached, // refusal: the owner does not reach the primary, another instance does
+  RetryRedirected,   // retry: request not run at the owner, sent to an instance that reaches it
   Count
 };
 
--- a/src/group/change.cpp
+++ b/src/group/change.cpp
@@ -16,7 +16,11 @@
 constexpr absl::Duration BackoffBase = absl::Milliseconds(200); // doubles with each failure
 constexpr int BackoffDoublings = 4;
 constexpr absl::Duration ObserverBudget = absl::Milliseconds(400);
-constexpr absl::Duration ObserverPause = absl::Seconds(1); // after an observer reached the primary
+// Pause after an observer reached the primary, and its jitter. With ObserverBudget they stay below
+// HintValidity, so that the next answer comes before the hint ends.
+constexpr absl::Duration ObserverPause = absl::Seconds(1);
+constexpr absl::Duration ObserverJitter = absl::Milliseconds(500);
+constexpr absl::Duration HintValidity = absl::Seconds(2);
 constexpr size_t ObserversAsked = 2;
 constexpr absl::Duration TermAheadDelay = absl::Seconds(2); // before a fenced minority is taken in
 constexpr absl::Duration CaughtUpAge = absl::Seconds(1);    // largest lag when a primary leaves
@@ -33,12 +37,23 @@
 constexpr std::string_view CauseLeaving = "leaving";
 constexpr std::string_view CauseTermAhead = "term_ahead";
 
+// Why requests are no longer sent to an observer.
+constexpr std::string_view EndReached = "reached";
+constexpr std::string_view EndChanged = "primary_changed";
+constexpr std::string_view EndExpired = "expired";
+constexpr std::string_view EndObserverGone = "observer_gone";
+constexpr std::string_view EndNotOwner = "not_owner";
+
 } // namespace
 
 void Monitor::step(Step What, Term InTerm, const TargetId &Server, std::string_view Cause,
-                   absl::Duration Elapsed) {
-  this->Out.push_back(StepAction{
-      .What = What, .InTerm = InTerm, .Server = Server, .Cause = Cause, .Elapsed = Elapsed});
+                   absl::Duration Elapsed, InstanceId Observer) {
+  this->Out.push_back(StepAction{.What = What,
+                                 .InTerm = InTerm,
+                                 .Server = Server,
+                                 .Cause = Cause,
+                                 .Elapsed = Elapsed,
+                                 .Observer = std::move(Observer)});
 }
 
 // Decides whether a change of primary is due.
@@ -138,39 +153,123 @@
     this->Question.reset();
   if (!this->Question) {
     this->step(Step::Suspected, InTerm, S.Def.Id, Cause, absl::ZeroDuration());
-    std::vector<InstanceId> Peers = this->Config.Peers;
-    std::shuffle(Peers.begin(), Peers.end(), this->Random);
-    Peers.resize(std::min(Peers.size(), ObserversAsked));
     this->Question = Asking{.Target = Target,
                             .InTerm = InTerm,
                             .Cause = Cause,
                             .Pending = {},
-                            .Deadline = Now + ObserverBudget};
-    for (const InstanceId &Peer : Peers) {
-      uint64_t Id = this->NextId++;
-      this->Question->Pending.push_back(Id);
-      this->Out.push_back(
-          AskPeerAction{.Peer = Peer, .ProbeId = Id, .Target = S.Def.Id, .Budget = ObserverBudget});
-    }
+                            .Deadline = Now + ObserverBudget,
+                            .Reached = std::nullopt};
+    this->askObservers();
   }
+  if (this->settleQuestion(Now))
+    return;
   if (!this->Question->Pending.empty() && Now < this->Question->Deadline)
     return;
   this->Question.reset();
   this->startAttempt(Cause, std::vector<bool>(this->Servers.size(), true), Now);
 }
 
+// Asks the observer of the present hint, if any, and others at random.
+void Monitor::askObservers() {
+  std::vector<InstanceId> Peers = this->Config.Peers;
+  std::shuffle(Peers.begin(), Peers.end(), this->Random);
+  if (this->Reached)
+    std::stable_partition(Peers.begin(), Peers.end(),
+                          [this](const InstanceId &Id) { return Id == this->Reached->By.Id; });
+  Peers.resize(std::min(Peers.size(), ObserversAsked));
+  for (const InstanceId &Peer : Peers) {
+    uint64_t Id = this->NextId++;
+    this->Question->Pending.emplace_back(Id, Peer);
+    this->Out.push_back(AskPeerAction{.Peer = Peer,
+                                      .ProbeId = Id,
+                                      .Target = this->Servers[this->Question->Target].Def.Id,
+                                      .Budget = ObserverBudget});
+  }
+}
+
 Actions Monitor::onPeerProbe(uint64_t ProbeId, bool Reachable, Term Accepted, Instant Now) {
-  if (!this->Question || std::erase(this->Question->Pending, ProbeId) == 0)
+  if (!this->Question)
     return this->advance(Now);
-  if (Reachable && Accepted == this->Question->InTerm) {
-    this->step(Step::Kept, this->Question->InTerm, this->Servers[this->Question->Target].Def.Id,
-               this->Question->Cause, absl::ZeroDuration());
-    this->Question.reset();
-    this->NextAttemptAt = Now + this->jittered(ObserverPause);
-  }
+  auto &Pending = this->Question->Pending;
+  auto It = std::find_if(Pending.begin(), Pending.end(),
+                         [&](const auto &Asked) { return Asked.first == ProbeId; });
+  if (It == Pending.end())
+    return this->advance(Now);
+  InstanceId Peer = It->second;
+  Pending.erase(It);
+  bool Named = this->Reached && this->Reached->By.Id == Peer;
+  if (Reachable && Accepted == this->Question->InTerm && (Named || !this->Question->Reached))
+    this->Question->Reached = Peer;
+  this->settleQuestion(Now);
   return this->advance(Now);
 }
 
+// Ends the question when an observer reaches the primary. The answer of the present hint's observer
+// is waited for, so that requests do not move between observers that both reach it.
+bool Monitor::settleQuestion(Instant Now) {
+  const Asking &Q = *this->Question;
+  if (!Q.Reached)
+    return false;
+  bool NamedPending =
+      this->Reached && std::any_of(Q.Pending.begin(), Q.Pending.end(), [this](const auto &Asked) {
+        return Asked.second == this->Reached->By.Id;
+      });
+  if (NamedPending && Now < Q.Deadline)
+    return false;
+  this->keepPrimary(*Q.Reached, Now);
+  return true;
+}
+
+// An observer reaches the primary: it stays, and requests that need it go to the observer.
+void Monitor::keepPrimary(InstanceId ReachedBy, Instant Now) {
+  const Asking &Q = *this->Question;
+  const TargetId &Id = this->Servers[Q.Target].Def.Id;
+  this->step(Step::Kept, Q.InTerm, Id, Q.Cause, absl::ZeroDuration(), ReachedBy);
+  bool Same = this->Reached && this->Reached->By.Id == ReachedBy && this->Reached->Primary == Id &&
+              this->Reached->InTerm == Q.InTerm;
+  if (!Same)
+    this->step(Step::Redirected, Q.InTerm, Id, Q.Cause, absl::ZeroDuration(), ReachedBy);
+  this->Reached = Hint{.By = {.Id = std::move(ReachedBy), .Until = Now + HintValidity},
+                       .Primary = Id,
+                       .InTerm = Q.InTerm};
+  this->Question.reset();
+  std::uniform_real_distribution<double> Jitter(0.0, 1.0);
+  this->NextAttemptAt = Now + ObserverPause + ObserverJitter * Jitter(this->Random);
+}
+
+// Why the hint no longer holds; empty while it does. A daemon that has never reached the primary
+// knows its term from the replicas only.
+std::string_view Monitor::hintEnd(Instant Now) const {
+  const Hint &H = *this->Reached;
+  if (!this->Config.Owner)
+    return EndNotOwner;
+  const Server *S = this->find(H.Primary);
+  std::optional<size_t> P = this->primary();
+  bool Same =
+      P ? this->Servers[*P].Def.Id == H.Primary && this->Servers[*P].Row->Accepted == H.InTerm
+        : this->highestTerm() == H.InTerm;
+  if (!S || !Same || this->Change)
+    return EndChanged;
+  if (!this->suspect(*S))
+    return EndReached;
+  if (Now >= H.By.Until)
+    return EndExpired;
+  bool Alive = std::find(this->Config.Peers.begin(), this->Config.Peers.end(), H.By.Id) !=
+               this->Config.Peers.end();
+  return Alive ? "" : EndObserverGone;
+}
+
+void Monitor::reviewHint(Instant Now) {
+  if (!this->Reached)
+    return;
+  std::string_view Cause = this->hintEnd(Now);
+  if (Cause.empty())
+    return;
+  this->step(Step::RedirectEnded, this->Reached->InTerm, this->Reached->Primary, Cause,
+             absl::ZeroDuration(), this->Reached->By.Id);
+  this->Reached.reset();
+}
+
 void Monitor::startAttempt(std::string_view Cause, std::vector<bool> Asked, Instant Now) {
   Term T(std::max(this->TermSeen, this->LastAttempted).Value + 1);
   this->LastAttempted = T;
--- a/src/group/monitor.cpp
+++ b/src/group/monitor.cpp
@@ -25,7 +25,7 @@
            X.CurrentAt == Y.CurrentAt;
   };
   return A.Current == B.Current && A.Primary == B.Primary &&
-         A.AwaitsTransactions == B.AwaitsTransactions &&
+         A.AwaitsTransactions == B.AwaitsTransactions && A.ReachedBy == B.ReachedBy &&
          std::equal(A.Servers.begin(), A.Servers.end(), B.Servers.begin(), B.Servers.end(), Same);
 }
 
@@ -175,6 +175,7 @@
   this->noteLeaving(Now);
   this->considerChange(Now);
   this->driveAttempt(Now);
+  this->reviewHint(Now);
   this->repair(Now);
   this->startProbes(Now);
   this->startWaits(Now);
@@ -319,6 +320,8 @@
     New.Primary = this->Servers[*P].Def.Id;
   New.AwaitsTransactions =
       New.Primary && this->Use == PrimaryUse::Transactions && this->awaitsRequests(Now);
+  if (this->Reached)
+    New.ReachedBy = this->Reached->By;
   for (const Server &S : this->Servers) {
     ServerState &State = New.Servers.emplace_back();
     State.Id = S.Def.Id;
@@ -356,6 +359,8 @@
   Consider(this->leavingDeadline());
   if (this->Question)
     Consider(this->Question->Deadline);
+  if (this->Reached)
+    Consider(this->Reached->By.Until);
   if (this->Change)
     Consider(this->Change->Deadline);
   return Next;
--- a/src/group/monitor.h
+++ b/src/group/monitor.h
@@ -13,6 +13,7 @@
 #include <random>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <variant>
 #include <vector>
 
@@ -46,8 +47,10 @@
 constexpr size_t LaneCount = 3;
 
 enum class Step : uint8_t {
-  Suspected, // the primary does not answer
-  Kept,      // a second observer reaches the primary
+  Suspected,     // the primary does not answer
+  Kept,          // a second observer reaches the primary
+  Redirected,    // requests go to an observer from now on, or to another one
+  RedirectEnded, // requests no longer go to an observer
   Started,
   Fenced, // a majority accepted the new term
   Promoted,
@@ -75,6 +78,7 @@
   TargetId Server;
   std::string_view Cause;
   absl::Duration Elapsed;
+  InstanceId Observer; // of Kept, Redirected and RedirectEnded
 };
 struct ConfirmedAction {
   uint64_t Ticket = 0;
@@ -136,8 +140,15 @@
     size_t Target = 0;
     Term InTerm;
     std::string_view Cause;
-    std::vector<uint64_t> Pending;
+    std::vector<std::pair<uint64_t, InstanceId>> Pending; // probe id and observer
     Instant Deadline;
+    std::optional<InstanceId> Reached; // an observer that reaches the primary
+  };
+  // An observer that reaches a primary which this daemon does not reach.
+  struct Hint {
+    Observer By;
+    TargetId Primary;
+    Term InTerm;
   };
   // The attempt of this daemon that is running.
   struct Running {
@@ -184,13 +195,18 @@
   bool awaitsRequests(Instant Now) const;
   void considerMissing(Instant Now);
   void confirmSuspicion(size_t Target, Term InTerm, Instant Now);
+  void askObservers();
+  bool settleQuestion(Instant Now);
+  void keepPrimary(InstanceId ReachedBy, Instant Now);
+  std::string_view hintEnd(Instant Now) const;
+  void reviewHint(Instant Now);
   void startAttempt(std::string_view Cause, std::vector<bool> Asked, Instant Now);
   void driveAttempt(Instant Now);
   void abandonAttempt(Instant Now);
   void onPromoted(Instant Now);
   void repair(Instant Now);
   void step(Step What, Term InTerm, const TargetId &Server, std::string_view Cause,
-            absl::Duration Elapsed);
+            absl::Duration Elapsed, InstanceId Observer = {});
 
   MonitorOptions Options;
   MonitorConfig Config;
@@ -214,6 +230,7 @@
   TargetId LeavingPrimary; // empty: the primary does not leave
   Instant LeavingSince = absl::InfinitePast();
   std::optional<Asking> Question;
+  std::optional<Hint> Reached;
   std::optional<Running> Change;
   std::optional<Settling> Finishing;
 };
--- a/src/group/monitor_test.cpp
+++ b/src/group/monitor_test.cpp
@@ -93,6 +93,135 @@
   CHECK(S.Servers[0].Accepted == 1);
 }
 
+namespace {
+
+// A group of which the owner has lost the primary, with two observers that reach it.
+struct CutOff {
+  Simulation S{3};
+  Simulation::Daemon &D = S.add(S.config(true, {Peer1, Peer2}));
+  std::map<InstanceId, bool> Reaches = {{Peer1, true}, {Peer2, true}};
+
+  CutOff() {
+    S.Peer = [this](const AskPeerAction &A) {
+      bool Reached = this->Reaches[A.Peer];
+      return std::make_pair(Reached, Reached ? Term(1) : Term());
+    };
+    S.run(absl::Seconds(1));
+    D.Cut.insert(0);
+    S.run(absl::Milliseconds(1500));
+  }
+  const std::optional<Observer> &hint() const { return D.Machine.state().ReachedBy; }
+  std::string_view endCause() const {
+    return D.Steps.back().What == Step::RedirectEnded ? D.Steps.back().Cause : "";
+  }
+};
+
+} // namespace
+
+// Guards against writes that wait at an owner that cannot serve them, and against a hint that ends
+// while an observer still reaches the primary, or moves between observers that both do.
+TEST_CASE("the owner names one observer for as long as it reaches the primary") {
+  CutOff C;
+  REQUIRE(C.hint());
+  InstanceId First = C.hint()->Id;
+  for (int I = 0; I < 1000; ++I) {
+    C.S.run(absl::Milliseconds(10));
+    REQUIRE(C.hint());
+    CHECK(C.hint()->Id == First);
+    CHECK(C.hint()->Until > C.S.Now);
+    CHECK(C.hint()->Until <= C.S.Now + absl::Seconds(2));
+  }
+  CHECK(count(C.D, Step::Redirected) == 1);
+  CHECK(count(C.D, Step::Started) == 1); // of the first term
+}
+
+// Guards against requests that are sent away from an owner that can serve them.
+TEST_CASE("the hint ends when the owner reaches the primary again") {
+  CutOff C;
+  REQUIRE(C.hint());
+  C.D.Cut.clear();
+  C.S.run(absl::Milliseconds(400));
+  CHECK_FALSE(C.hint());
+  CHECK(C.endCause() == "reached");
+}
+
+TEST_CASE("the hint expires when no observer answers any more") {
+  CutOff C;
+  REQUIRE(C.hint());
+  Instant Until = C.hint()->Until;
+  // Without a majority no observer is asked and no change starts.
+  C.D.Cut.insert(1);
+  C.S.run(Until - C.S.Now - absl::Milliseconds(1));
+  REQUIRE(C.hint());
+  CHECK(C.hint()->Until == Until);
+  C.S.run(absl::Milliseconds(2));
+  CHECK_FALSE(C.hint());
+  CHECK(C.endCause() == "expired");
+}
+
+// Guards against a hint to an observer of an earlier term.
+TEST_CASE("the hint ends when the primary changes") {
+  CutOff C;
+  REQUIRE(C.hint());
+  SUBCASE("by another proposer") {
+    for (size_t I : {1, 2})
+      C.S.Servers[I].accept(9, "other");
+    C.S.Servers[2].promote(9, "other");
+    C.S.Servers[1].follow(9, "10.0.0.2:5432");
+    C.S.run(absl::Milliseconds(700));
+    CHECK(primaryOf(C.D) == 2);
+  }
+  SUBCASE("by the owner, when the observers do not reach it either") {
+    C.Reaches = {{Peer1, false}, {Peer2, false}};
+    C.S.run(absl::Seconds(2));
+    CHECK(primaryOf(C.D) == 1);
+  }
+  CHECK_FALSE(C.hint());
+}
+
+// Guards against requests that are sent to an instance that has died or left.
+TEST_CASE("the hint ends with its observer and passes to another one") {
+  CutOff C;
+  REQUIRE(C.hint());
+  InstanceId First = C.hint()->Id;
+  InstanceId Other = First == Peer1 ? Peer2 : Peer1;
+  SUBCASE("that left the members") {
+    C.S.perform(C.D, C.D.Machine.configure(C.S.config(true, {Other}), C.S.Now));
+    CHECK_FALSE(C.hint());
+    CHECK(C.endCause() == "observer_gone");
+    C.S.run(absl::Seconds(2));
+  }
+  SUBCASE("that lost the primary itself") {
+    C.Reaches[First] = false;
+    C.S.run(absl::Seconds(2));
+  }
+  REQUIRE(C.hint());
+  CHECK(C.hint()->Id == Other);
+  CHECK(primaryOf(C.D) == 0);
+}
+
+TEST_CASE("only the owner gives a hint") {
+  CutOff C;
+  REQUIRE(C.hint());
+  C.S.perform(C.D, C.D.Machine.configure(C.S.config(false, {Peer1, Peer2}), C.S.Now));
+  CHECK_FALSE(C.hint());
+}
+
+// Guards against an owner that has never reached the primary and keeps the requests.
+TEST_CASE("a new owner that cannot reach the primary names an observer") {
+  Simulation S(3);
+  S.add(S.config(true));
+  S.run(absl::Seconds(1));
+  S.Peer = [](const AskPeerAction &) { return std::make_pair(true, Term(1)); };
+  Simulation::Daemon &D = S.add(S.config(false, {Peer1}));
+  D.Cut.insert(0);
+  S.perform(D, D.Machine.configure(S.config(true, {Peer1}), S.Now));
+  S.run(absl::Seconds(2));
+  REQUIRE(D.Machine.state().ReachedBy);
+  CHECK(D.Machine.state().ReachedBy->Id == Peer1);
+  CHECK(count(D, Step::Started) == 0);
+}
+
 // Guards against a failover that waits for an observer for good, or takes an answer of another
 // term as proof that the primary serves.
 TEST_CASE("an observer that is silent, negative or in another term does not stop the change") {
--- a/src/group/service.cpp
+++ b/src/group/service.cpp
@@ -30,6 +30,10 @@
     return {"primary_suspected", "primary_suspected_total"};
   case Step::Kept:
     return {"primary_kept", "primary_kept_total"};
+  case Step::Redirected:
+    return {"primary_redirected", "primary_redirected_total"};
+  case Step::RedirectEnded:
+    return {"primary_redirect_ended", "primary_redirect_ended_total"};
   case Step::Started:
     return {"primary_change_started", "primary_change_started_total"};
   case Step::Fenced:
@@ -287,12 +291,14 @@
   StepText Text = textOf(A.What);
   this->Counters.add(Text.Counter);
   LogLevel Level = A.What == Step::Abandoned ? LogLevel::Warn : LogLevel::Info;
-  LogEvent(Level, Text.Event)
-      .kv("database", W->Machine.config().Database.Value)
+  LogEvent Event(Level, Text.Event);
+  Event.kv("database", W->Machine.config().Database.Value)
       .kv("term", A.InTerm.Value)
       .kv("server", A.Server.Value)
       .kv("cause", A.Cause)
       .kv("elapsed_ms", absl::ToInt64Milliseconds(A.Elapsed));
+  if (!A.Observer.Value.empty())
+    Event.kv("observer", A.Observer.Value);
 }
 
 void GroupService::Impl::perform(const WatchedPtr &W, ConfirmedAction &A) {
--- a/src/group/watcher.h
+++ b/src/group/watcher.h
@@ -27,6 +27,13 @@
   Instant CurrentAt = absl::InfinitePast();
 };
 
+// Another instance that reaches the primary while this one, the owner, does not.
+struct Observer {
+  InstanceId Id;
+  Instant Until; // the hint is valid before this moment
+  friend bool operator==(const Observer &, const Observer &) = default;
+};
+
 struct GroupState {
   DatabaseName Database;
   Term Current;                    // term of the primary
@@ -34,6 +41,9 @@
   // The primary is leaving, but transactions that are open on it may finish first. Until then it
   // takes other requests, but no new transactions.
   bool AwaitsTransactions = false;
+  // Requests that need the primary are sent to this instance. Set only while the primary is not
+  // reachable.
+  std::optional<Observer> ReachedBy;
   std::vector<ServerState> Servers;
 };
 
