Pool: requests for a primary that only another instance reaches are refused

Cause: at an owner that does not reach the primary, writes waited in the queue until their deadline. Ruled out: a check at admission only; requests that wait, reads that go from a replica to the primary, and requests that come back after a lost connection would stay in the queue. Change: while the hint is valid the dispatcher refuses everything that waits for the primary, and the shell refuses requests that wait for the verified position, as not run, with the observer and the remaining validity in Done. A request whose earlier attempt may have run ends as may-have-run instead; the queue reported such a request as not run before, also at its deadline. Conclusion: the owner answers at once; the entry duty does not follow the hint yet.

--- a/src/pool/connections.cpp
+++ b/src/pool/connections.cpp
@@ -147,6 +147,7 @@
   D->CurrentTerm = S.Current;
   D->Primary = S.Primary;
   D->AwaitsTransactions = S.AwaitsTransactions;
+  D->ReachedBy = S.ReachedBy;
   D->Dispatch.setState(&S);
   std::vector<Connection *> OfOldTerm;
   std::vector<Connection *> Unreachable;
@@ -174,6 +175,7 @@
         .kv("database", S.Database.Value)
         .kv("term", S.Current.Value)
         .kv("connections_closed", OfOldTerm.size());
+  this->redirectVerifying(*D);
   this->pump(*D);
 }
 
--- a/src/pool/dispatch.cpp
+++ b/src/pool/dispatch.cpp
@@ -242,6 +242,7 @@
     this->startPrimary(Class, Out);
     this->startReplica(Class, Now, Out);
   }
+  this->redirect(Now, Out);
   this->openConnections(Now, Out);
   for (Lane L : {PrimaryLane, ReplicaLane})
     this->ShortNow[L] = this->inLane(WorkClass::Short, L);
@@ -354,6 +355,22 @@
   }
 }
 
+// Refuses what waits for a primary that another instance reaches and this one does not.
+void Dispatcher::redirect(Instant Now, std::vector<Action> &Out) {
+  if (!this->State || !this->State->ReachedBy || Now >= this->State->ReachedBy->Until)
+    return;
+  for (WorkClass Class : {WorkClass::Short, WorkClass::Long}) {
+    FairQueue &Q = this->lane(Class, PrimaryLane);
+    while (auto T = Q.take([](const Ticket &) { return true; }, 1)) {
+      this->DeadlineOf.erase(T->Id);
+      this->Deadlines.erase({T->Deadline, T->Id});
+      this->WaitedForReplica.erase(T->Id);
+      Out.push_back(
+          {.Kind = ActionKind::Refuse, .Request = T->Id, .Why = Reason::PrimaryNotReached});
+    }
+  }
+}
+
 bool Dispatcher::longIsOverdue(Instant Now) const {
   for (const auto &[Id, T] : this->Targets)
     if (T.Executing[index(WorkClass::Long)] > 0)
--- a/src/pool/dispatch.h
+++ b/src/pool/dispatch.h
@@ -148,6 +148,7 @@
   void averageShortWork(Instant Now);
   uint32_t inLane(rules::WorkClass Class, Lane L) const;
   bool longWithinLimit(Lane L) const;
+  void redirect(Instant Now, std::vector<Action> &Out);
   void openConnections(Instant Now, std::vector<Action> &Out);
   bool wantsConnection(const TargetId &Id, const TargetSlots &T, Instant Now) const;
   uint32_t demand(const TargetId &Id) const;
--- a/src/pool/dispatch_test.cpp
+++ b/src/pool/dispatch_test.cpp
@@ -304,3 +304,29 @@
   CHECK(B.D.load(P).Executing == 3);
   CHECK(B.D.load(P).Connections <= 5);
 }
+
+// Guards against requests that wait for a primary which only another instance reaches, and against
+// reads sent away that a replica here may serve.
+TEST_CASE("what waits for a primary that another instance reaches is refused") {
+  Bench B;
+  B.State.Servers[0].Reachable = false;
+  B.update();
+  B.D.admit(ticket(1), T0);
+  B.D.admit(readTicket(2, 11), T0); // no replica has reached its floor
+  B.D.admit(readTicket(3, 5), T0);
+  CHECK(B.started().size() == 1);
+  CHECK(B.Refused.empty());
+  B.State.ReachedBy = group::Observer{.Id = InstanceId("c"), .Until = T0 + absl::Seconds(2)};
+  B.update();
+  B.started();
+  using Refusals = std::vector<std::pair<uint64_t, Reason>>;
+  CHECK(B.Refused == Refusals{{1, Reason::PrimaryNotReached}});
+  B.started(T0 + absl::Milliseconds(60));
+  CHECK(B.Refused == Refusals{{1, Reason::PrimaryNotReached}, {2, Reason::PrimaryNotReached}});
+  CHECK(B.D.queued() == 0);
+  // After the hint the request waits for the primary again.
+  B.D.admit(ticket(4), T0 + absl::Seconds(2));
+  B.started(T0 + absl::Seconds(2));
+  CHECK(B.Refused.size() == 2);
+  CHECK(B.D.queued() == 1);
+}
--- a/src/pool/execute.cpp
+++ b/src/pool/execute.cpp
@@ -28,7 +28,7 @@
       else if (A.Kind == ActionKind::Open)
         this->openConnection(D, A.At);
       else if (Request *R = this->find(A.Request))
-        this->fail(*R, A.Why, Verdict::NotRun);
+        this->refuseWaiting(*R, A.Why);
     }
   }
   D.Pumping = false;
@@ -39,6 +39,15 @@
     D.Wake = this->InLoop.at(Wake, [this, &D] { this->pump(D); });
 }
 
+// Ends a request that the dispatcher refuses. One that may have run before does not count as not
+// run, so it is not sent to another instance either.
+void PoolService::Impl::refuseWaiting(Request &R, Reason Why) {
+  if (!R.EarlierMayHaveRun)
+    this->fail(R, Why, Verdict::NotRun);
+  else
+    this->fail(R, Why == Reason::PrimaryNotReached ? Reason::TargetLost : Why, Verdict::MayHaveRun);
+}
+
 void PoolService::Impl::assign(DatabaseState &D, const Action &A) {
   Request *R = this->find(A.Request);
   assert(R && R->At == Stage::Queued);
@@ -229,6 +238,7 @@
                R->Reply->chunksSent() == 0 && this->InLoop.now() < R->Deadline;
   if (Again && this->Budget.take()) {
     this->Counters.count(Reason::RetryTargetLost);
+    R->EarlierMayHaveRun = true;
     this->runAgain(*R);
     this->pump(*R->Database);
     return;
@@ -334,6 +344,7 @@
   bool Again = Outcome.Step == LossStep::Requeue;
   if (Outcome.Step == LossStep::Retry && this->Budget.take()) {
     this->Counters.count(Reason::RetryTargetLost);
+    R.EarlierMayHaveRun = true;
     Again = true;
   }
   if (Again)
--- a/src/pool/pool.cpp
+++ b/src/pool/pool.cpp
@@ -200,7 +200,9 @@
     R.Keyed = std::make_unique<KeyedRequest>(Mode, R.Exec.request_key(), R.Exec.frames(), R.Plan);
   this->ByCaller[{From, R.Exec.request_id()}] = R.Id;
   this->Requests[R.Id] = std::move(New);
-  if (R.Exec.verify_floor() && R.Exec.lease() == 0)
+  if (R.Exec.verify_floor() && R.Exec.lease() == 0 && this->redirects(*R.Database))
+    this->fail(R, Reason::PrimaryNotReached, Verdict::NotRun);
+  else if (R.Exec.verify_floor() && R.Exec.lease() == 0)
     this->verify(R);
   else
     this->enqueue(R);
@@ -291,9 +293,27 @@
   this->Groups.usePrimary(D.Group.Name, Use);
 }
 
+// Decides whether requests that need the primary are sent to an instance that reaches it.
+bool PoolService::Impl::redirects(const DatabaseState &D) const {
+  return D.ReachedBy && this->InLoop.now() < D.ReachedBy->Until;
+}
+
+// Refuses requests that wait for the position of a primary that another instance reaches.
+void PoolService::Impl::redirectVerifying(DatabaseState &D) {
+  if (!this->redirects(D))
+    return;
+  std::vector<TicketId> Waiting;
+  for (auto &[Id, R] : this->Requests)
+    if (R->Database == &D && R->At == Stage::Verifying)
+      Waiting.push_back(Id);
+  for (TicketId Id : Waiting)
+    if (Request *R = this->find(Id))
+      this->fail(*R, Reason::PrimaryNotReached, Verdict::NotRun);
+}
+
 void PoolService::Impl::enqueue(Request &R) {
-  if (R.Database->AwaitsTransactions && R.Exec.kind() == proto::TRANSACTION &&
-      R.Exec.lease() == 0) {
+  if (R.Database->AwaitsTransactions && !this->redirects(*R.Database) &&
+      R.Exec.kind() == proto::TRANSACTION && R.Exec.lease() == 0) {
     this->hold(R);
     return;
   }
@@ -344,6 +364,12 @@
   proto::Envelope E = doneEnvelope(R.Exec.request_id(), Outcome, Why);
   proto::Done &D = *E.mutable_done();
   D.set_retry_after_us(static_cast<uint64_t>(absl::ToInt64Microseconds(RetryAfter)));
+  if (Why == Reason::PrimaryNotReached && R.Database->ReachedBy) {
+    const group::Observer &By = *R.Database->ReachedBy;
+    absl::Duration Valid = std::max(absl::ZeroDuration(), By.Until - this->InLoop.now());
+    D.set_observer(By.Id.Value);
+    D.set_observer_valid_us(static_cast<uint64_t>(absl::ToInt64Microseconds(Valid)));
+  }
   D.set_target(R.Target.Value);
   D.set_chunks(R.Reply ? R.Reply->chunksSent() : 0);
   // A request that is refused before it runs does not end its transaction.
--- a/src/pool/pool_test.cpp
+++ b/src/pool/pool_test.cpp
@@ -508,3 +508,93 @@
   }));
   T.in([&] { CHECK(T.Frames[1].size() > 500'000); });
 }
+
+namespace {
+
+// Tells the pool that only the instance c reaches the primary, for 2 s from now on.
+void loseThePrimary(Rig &T) {
+  T.in([&] {
+    T.Watch->Group.Servers[0].Reachable = false;
+    T.Watch->Group.ReachedBy =
+        group::Observer{.Id = InstanceId("c"), .Until = T.InLoop.now() + absl::Seconds(2)};
+    T.Pool->onGroup(T.Watch->Group);
+  });
+}
+
+bool namesObserver(const proto::Done &D) {
+  return is(D, proto::NOT_RUN, Reason::PrimaryNotReached) && D.observer() == "c" &&
+         D.observer_valid_us() > 0 && D.observer_valid_us() <= 2'000'000;
+}
+
+} // namespace
+
+// Guards against requests that wait at an owner that cannot serve them, when they arrive and when
+// they wait already.
+TEST_CASE("requests that need the primary are refused with the observer's id") {
+  Rig T(byText);
+  SUBCASE("on arrival") {
+    loseThePrimary(T);
+    CHECK(namesObserver(T.run(1, proto::WRITE, "insert")));
+    CHECK(namesObserver(T.run(2, proto::TRANSACTION, "begin")));
+    CHECK(namesObserver(T.run(3, proto::READ, "read")));
+    CHECK(namesObserver(T.run(4, proto::READ, "read", 0, 30'000'000, true)));
+    CHECK(is(T.run(5, proto::READ, "read", 0, 30'000'000), proto::RAN, Reason::None));
+  }
+  SUBCASE("when they wait") {
+    T.in([&] {
+      T.Watch->Group.Servers[0].Reachable = false;
+      T.Watch->Verified.assign(100, std::nullopt);
+      T.Pool->onGroup(T.Watch->Group);
+    });
+    T.exec(1, proto::WRITE, "insert");
+    T.exec(2, proto::READ, "read", 0, 30'000'000, true);
+    loseThePrimary(T);
+    CHECK(namesObserver(T.done(1)));
+    CHECK(namesObserver(T.done(2)));
+  }
+  T.in([&] { CHECK(T.Primary.Queries.empty()); });
+}
+
+// Guards against a second execution: what the primary may have run is not sent elsewhere as not
+// run.
+TEST_CASE("a request that may have run names no observer") {
+  Rig T(byText);
+  auto LoseConnections = [&] {
+    loseThePrimary(T);
+    T.in([&] { T.Primary.endAll(); });
+  };
+  SUBCASE("a write") {
+    T.exec(1, proto::WRITE, "hang");
+    REQUIRE(T.reached("hang"));
+    LoseConnections();
+  }
+  SUBCASE("a read that would be tried again") {
+    T.exec(1, proto::READ, "hang");
+    REQUIRE(T.reached("hang"));
+    LoseConnections();
+  }
+  proto::Done D = T.done(1);
+  CHECK(is(D, proto::MAY_HAVE_RUN, Reason::TargetLost));
+  CHECK(D.observer().empty());
+}
+
+// Guards against a pool that refuses a redirected request because it has not watched the group yet.
+TEST_CASE("a request for a group whose state is not known yet waits for it") {
+  Rig T(byText);
+  T.in([&] {
+    T.Watch->Group.Primary.reset();
+    T.Watch->Group.Current = Term();
+    T.Watch->Group.Servers.clear();
+    T.Pool->onGroup(T.Watch->Group);
+  });
+  T.exec(1, proto::WRITE, "insert");
+  T.in([&] {
+    CHECK(T.Dones.empty());
+    T.Watch->Group.Current = Term(5);
+    T.Watch->Group.Primary = TargetId("p");
+    T.Watch->Group.Servers = {
+        {.Id = TargetId("p"), .Reachable = true, .Is = group::Role::Primary, .Accepted = Term(5)}};
+    T.Pool->onGroup(T.Watch->Group);
+  });
+  CHECK(is(T.done(1), proto::RAN, Reason::None));
+}
--- a/src/pool/service.h
+++ b/src/pool/service.h
@@ -46,9 +46,10 @@
   std::unique_ptr<KeyedRequest> Keyed; // unrepeatable, with a request id
   TargetId Target;
   bool AtPrimary = true;
-  bool Abandoned = false; // the answer is read and dropped
-  uint64_t Lease = 0;     // transaction that is open after the request
-  TimerId Timer;          // deadline while running or verifying
+  bool Abandoned = false;         // the answer is read and dropped
+  bool EarlierMayHaveRun = false; // an earlier attempt, which is repeated
+  uint64_t Lease = 0;             // transaction that is open after the request
+  TimerId Timer;                  // deadline while running or verifying
 
   bool read() const { return this->Exec.kind() == proto::READ; }
   // A request with a recorded id returns its first outcome when it is sent again.
@@ -88,8 +89,9 @@
   std::vector<Connection *> Idle; // the most recently used last
   LogPosition Confirmed;          // highest position that a majority is known to have
   Instant LastRequest = absl::InfinitePast();
-  bool Kept = false;               // the watcher was told that the database is in use
-  bool AwaitsTransactions = false; // see GroupState
+  bool Kept = false;                        // the watcher was told that the database is in use
+  bool AwaitsTransactions = false;          // see GroupState
+  std::optional<group::Observer> ReachedBy; // see GroupState
   group::PrimaryUse Reported = group::PrimaryUse::None; // what the watcher was told last
   TimerId Wake;
   bool Pumping = false;
@@ -118,6 +120,8 @@
   Request *find(TicketId Id);
   void verify(Request &R);
   void onVerified(TicketId Id, std::optional<LogPosition> Floor);
+  bool redirects(const DatabaseState &D) const;
+  void redirectVerifying(DatabaseState &D);
   void enqueue(Request &R);
   void hold(Request &R);
   group::PrimaryUse primaryUse(const DatabaseState &D) const;
@@ -140,6 +144,7 @@
   // execute.cpp: one request on a connection
   void pump(DatabaseState &D);
   void assign(DatabaseState &D, const Action &A);
+  void refuseWaiting(Request &R, Reason Why);
   void begin(TicketId Id);
   void cancelAtTarget(Connection &C);
   std::unique_ptr<Relay> newRelay(const Request &R, LogPosition Last) const;
