Session: requests follow the hint to the instance that reaches the primary

Cause: a refusal with an observer was retried at the owner that had just refused. Ruled out: the retry budget and a pause for the redirect (it happens once for each request, so it cannot multiply load); dropping a second hint (with a dead observer, a waiting request would never learn of the next one). Change: the entry duty keeps the owner's hint for each database. A refused request goes to the observer at once; requests that need the primary go there directly while the hint is valid. A lease stays with its instance. A second hint for the same request is a failed attempt with the usual pause and budget. Only hints of the owner that name another live member are kept, so that two instances cannot send a request in a circle. A hint is dropped when its observer cannot be reached, drains, loses its link or is no member any more.

--- a/src/session/machine.h
+++ b/src/session/machine.h
@@ -38,9 +38,10 @@
   std::vector<std::pair<std::string, PreparedPtr>> Defined;
   Instant Started;
   Instant Deadline;
-  InstanceId Owner;  // of the attempt
-  bool Sent = false; // false: waiting for the next attempt
-  Instant RetryAt;   // when not sent
+  InstanceId Owner;        // of the attempt
+  bool Sent = false;       // false: waiting for the next attempt
+  bool Redirected = false; // an attempt went to an observer of the primary
+  Instant RetryAt;         // when not sent
   uint32_t Attempts = 0;
   uint64_t NextChunk = 0;
   std::map<uint64_t, std::string> Early; // chunks that arrived before their turn
@@ -51,6 +52,10 @@
   bool EarlierMayHaveRun = false; // an earlier attempt
   uint64_t UncreditedBytes = 0;   // written to the caller
 
+  // No replica may serve it at once.
+  bool needsPrimary() const {
+    return !this->IsRead || this->Exec.max_age_us() == 0 || this->Exec.verify_floor();
+  }
   // May be sent again although it may have run.
   bool repeatable() const { return this->IsRead && !this->Exec.once(); }
 };
@@ -119,6 +124,8 @@
   rules::Policy combinedPolicy(const Batch &B) const;
   std::optional<Reason> refusalNow() const;
   void dispatch(Instant Now, Actions &Out);
+  void sendTo(const InstanceId &Owner, Instant Now, Actions &Out);
+  bool redirect(const InstanceId &From, const proto::Done &D, Instant Now, Actions &Out);
   void failAttempt(Verdict V, Reason R, const std::string &Detail, absl::Duration RetryAfter,
                    Instant Now, Actions &Out);
   bool mayRetry(Verdict V, Reason R, absl::Duration Delay, Instant Now);
--- a/src/session/machine_request.cpp
+++ b/src/session/machine_request.cpp
@@ -44,6 +44,7 @@
   case Reason::NoPrimary:
   case Reason::TargetUnreachable:
   case Reason::TargetLost:
+  case Reason::PrimaryNotReached:
     return Reason::RetryTargetLost;
   case Reason::FloorUnreachable:
     return Reason::RetryReplicaBehind;
@@ -157,7 +158,8 @@
   return std::nullopt;
 }
 
-// Sends the request to the instance that holds the lease, or else owns the database.
+// Sends the request to the instance that holds the lease, or else owns the database. An observer
+// takes the owner's place when only the observer reaches the primary that the request needs.
 void Machine::dispatch(Instant Now, Actions &Out) {
   Running &R = *this->Request;
   bool Leased = this->State.Tx.Lease.Value != 0;
@@ -168,20 +170,54 @@
   if (!Owner)
     return this->failAttempt(Verdict::NotRun, Reason::NoOwner, this->Database.Value,
                              absl::ZeroDuration(), Now, Out);
+  if (!Leased && R.needsPrimary())
+    if (auto Observer = this->Common.observerOf(this->Database, Now)) {
+      R.Redirected = true;
+      Owner = Observer;
+    }
+  this->sendTo(*Owner, Now, Out);
+}
+
+void Machine::sendTo(const InstanceId &Owner, Instant Now, Actions &Out) {
+  Running &R = *this->Request;
   ++R.Attempts;
-  R.Owner = *Owner;
+  R.Owner = Owner;
   R.Sent = true;
   // Each attempt has an id of its own, so that late answers to an earlier one are told apart.
   R.Exec.set_request_id(uint64_t{this->Options.Session} << 32 | this->NextAttempt++);
   R.Exec.set_budget_us(static_cast<uint64_t>(absl::ToInt64Microseconds(R.Deadline - Now)));
   R.Exec.mutable_floor()->set_term(this->Floor.InTerm.Value);
   R.Exec.mutable_floor()->set_position(this->Floor.Position);
-  SendAction Send{.To = *Owner};
+  SendAction Send{.To = Owner};
   *Send.Message.mutable_exec() = R.Exec;
   Out.emplace_back(std::move(Send));
   this->armTimer(R.Deadline + DeadlineGrace, Out);
 }
 
+// Sends a request that the owner has refused to the instance that reaches the primary, at once and
+// without the retry budget: it happens once for each request. A second hint is kept for the next
+// attempt, which waits like any other, so that hints cannot send a request in a circle.
+bool Machine::redirect(const InstanceId &From, const proto::Done &D, Instant Now, Actions &Out) {
+  Running &R = *this->Request;
+  bool NotRun = verdictOf(D) == Verdict::NotRun && !R.EarlierMayHaveRun;
+  if (reasonOf(D) != Reason::PrimaryNotReached || !NotRun || this->State.Tx.Lease.Value != 0)
+    return false;
+  ObserverHint Hint{.Id = InstanceId(D.observer()),
+                    .Until = Now + absl::Microseconds(D.observer_valid_us())};
+  if (!this->Common.noteObserver(this->Database, From, Hint, Now) || R.Redirected ||
+      Now >= R.Deadline)
+    return false;
+  R.Redirected = true;
+  this->count(Reason::RetryRedirected, Out);
+  Out.emplace_back(LogAction{.Level = LogLevel::Debug,
+                             .Event = "request_redirected",
+                             .Pairs = {{"session", absl::StrFormat("%d", this->Options.Session)},
+                                       {"from", From.Value},
+                                       {"to", Hint.Id.Value}}});
+  this->sendTo(Hint.Id, Now, Out);
+  return true;
+}
+
 void Machine::onUnsent(uint64_t RequestId, Instant Now, Actions &Out) {
   if (!this->Request || this->Request->Exec.request_id() != RequestId)
     return;
@@ -207,6 +243,9 @@
 void Machine::failAttempt(Verdict V, Reason R, const std::string &Detail, absl::Duration RetryAfter,
                           Instant Now, Actions &Out) {
   Running &Run = *this->Request;
+  // An observer that has gone or leaves does not get further requests.
+  if (R == Reason::LinkDown || R == Reason::LinkLost || R == Reason::Draining)
+    this->Common.forgetObserver(Run.Owner);
   absl::Duration Delay = this->retryDelay(RetryAfter);
   if (!this->mayRetry(V, R, Delay, Now))
     return this->endWithError(V, R, Detail, Now, Out);
@@ -359,6 +398,8 @@
   if (reasonOf(D) != Reason::None) {
     if (D.lease() != this->State.Tx.Lease.Value)
       this->releaseLease(LeaseId(D.lease()), From, Out);
+    if (this->redirect(From, D, Now, Out))
+      return;
     // The text ends at a null byte, which a message to the caller cannot hold.
     return this->failAttempt(verdictOf(D), reasonOf(D), std::string(D.detail().c_str()),
                              absl::Microseconds(D.retry_after_us()), Now, Out);
--- a/src/session/machine_test.cpp
+++ b/src/session/machine_test.cpp
@@ -311,3 +311,123 @@
   }
   CHECK(Closed > 0);
 }
+
+namespace {
+
+constexpr const char *Insert = "query insert into t values (1)";
+constexpr const char *Hint = "done verdict=not_run reason=primary_not_reached observer=c chunks=0";
+constexpr const char *Answered = "done from=c wrote= at=5/11 chunks=0";
+
+// A session whose database has the owner b; the member c may be named as observer.
+struct WithObserver : Transcript {
+  WithObserver() {
+    this->event("observer c");
+    this->event("rules read database=orders table=copy max_age=30s # test");
+    start(*this);
+  }
+  std::string text(const std::string &Line) { return joined(this->event(Line)); }
+};
+
+} // namespace
+
+// Guards against writes that fail, or wait, while an instance reaches the primary.
+TEST_CASE("a refused request goes to the observer at once and later ones directly") {
+  WithObserver T;
+  CHECK(has(T.text(Insert), "exec b"));
+  CHECK(T.text(Hint) == "count retry_redirected\nexec c id=2 WRITE Q floor=5/10");
+  CHECK(has(T.text(Answered), "Z I"));
+  CHECK(has(T.text(Insert), "exec c"));
+  CHECK(has(T.text(Answered), "Z I"));
+  CHECK(has(T.text("query select a from t"), "exec c"));
+  T.text("done from=c chunks=0");
+  CHECK(has(T.text("query select a from copy"), "exec b"));
+  T.text("done chunks=0");
+  T.event("wait 2000");
+  CHECK(has(T.text(Insert), "exec b"));
+}
+
+// Guards against a read that a replica may serve and that is sent back to the owner which has just
+// refused it.
+TEST_CASE("a refused read of a replica goes to the observer") {
+  WithObserver T;
+  CHECK(has(T.text("query select a from copy"), "exec b"));
+  CHECK(has(T.text(Hint), "exec c"));
+}
+
+// Guards against a transaction that is sent to an instance that does not hold it.
+TEST_CASE("a transaction stays with its instance, whatever the hint says") {
+  WithObserver T;
+  SUBCASE("at the observer after the hint") {
+    T.text("query begin");
+    CHECK(has(T.text(Hint), "exec c"));
+    T.text("done from=c tx=T lease=9 chunks=0");
+    T.event("wait 2000");
+    CHECK(has(T.text(Insert), "exec c id=3 TRANSACTION Q lease=9"));
+  }
+  SUBCASE("at the owner during the hint") {
+    T.text("query begin");
+    T.text("done tx=T lease=9 chunks=0");
+    CHECK(T.Common.noteObserver(DatabaseName("orders"), InstanceId("b"),
+                                {.Id = InstanceId("c"), .Until = T.Now + absl::Seconds(2)}, T.Now));
+    CHECK(has(T.text(Insert), "exec b id=2 TRANSACTION Q lease=9"));
+  }
+}
+
+// Guards against instances that send a request to each other in a circle.
+TEST_CASE("a second hint for a request is a failed attempt") {
+  WithObserver T;
+  T.text(Insert);
+  CHECK(has(T.text(Hint), "exec c"));
+  std::string Second =
+      T.text("done from=c verdict=not_run reason=primary_not_reached observer=b chunks=0");
+  CHECK(Second == "count retry_target_lost");
+  // The next attempt uses the hint of the owner, which still holds.
+  CHECK(has(T.text("timer"), "exec c"));
+}
+
+TEST_CASE("a hint that names no member, the sender, or comes from another one is not followed") {
+  for (const char *Done :
+       {"done verdict=not_run reason=primary_not_reached observer=x chunks=0",
+        "done verdict=not_run reason=primary_not_reached observer=b chunks=0",
+        "done verdict=not_run reason=primary_not_reached chunks=0",
+        "done from=x verdict=not_run reason=primary_not_reached observer=c chunks=0"}) {
+    CAPTURE(Done);
+    WithObserver T;
+    T.text(Insert);
+    CHECK(T.text(Done) == "count retry_target_lost");
+    CHECK(has(T.text("timer"), "exec b"));
+  }
+}
+
+// Guards against a second execution.
+TEST_CASE("a request that may have run is not sent to the observer") {
+  WithObserver T;
+  T.text(Insert);
+  std::string Text = T.text("done verdict=may_have_run reason=target_lost observer=c chunks=0");
+  CHECK(has(Text, "ERROR 08007"));
+  CHECK(has(T.text(Insert), "exec b"));
+}
+
+// Guards against requests that go to an observer that has died.
+TEST_CASE("the hint does not outlive the observer") {
+  WithObserver T;
+  T.text(Insert);
+  CHECK(has(T.text(Hint), "exec c"));
+  SUBCASE("that cannot be reached") {
+    CHECK(has(T.text("unsent"), "count retry_link_lost"));
+    CHECK(has(T.text("timer"), "exec b"));
+  }
+  SUBCASE("that drains") {
+    CHECK(has(T.text("done from=c verdict=not_run reason=draining chunks=0"), "count retry"));
+    CHECK(has(T.text("timer"), "exec b"));
+  }
+  SUBCASE("that is lost while it has the request") {
+    CHECK(has(T.text("lost c"), "ERROR 08007"));
+    CHECK(has(T.text(Insert), "exec b"));
+  }
+  SUBCASE("that is no member any more") {
+    T.text(Answered);
+    T.event("observer x");
+    CHECK(has(T.text(Insert), "exec b"));
+  }
+}
--- a/src/session/shared.h
+++ b/src/session/shared.h
@@ -7,6 +7,8 @@
 #include "sql/sql.h"
 
 #include <algorithm>
+#include <map>
+#include <optional>
 #include <random>
 
 namespace toucan::session {
@@ -30,6 +32,12 @@
   double Balance = MaxBalance;
 };
 
+// An instance that reaches the primary of a database while the owner does not.
+struct ObserverHint {
+  InstanceId Id;
+  Instant Until; // valid before this moment
+};
+
 struct Shared {
   explicit Shared(EntryOptions Given)
       : Options(std::move(Given)), Signer(Options.TokenKey), Random(Options.Seed) {}
@@ -41,6 +49,19 @@
   sql::Classifier Classifier;
   member::ViewPtr View; // null before the first view
   bool Draining = false;
+
+  // Keeps a hint that the owner of a database has sent; false when it is not usable.
+  bool noteObserver(const DatabaseName &Database, const InstanceId &From, const ObserverHint &Hint,
+                    Instant Now);
+  // The instance that gets requests which need the primary, while a hint is valid.
+  std::optional<InstanceId> observerOf(const DatabaseName &Database, Instant Now);
+  // Drops the hints that name an instance.
+  void forgetObserver(const InstanceId &Id);
+
+private:
+  bool reachable(const InstanceId &Id) const;
+
+  std::map<DatabaseName, ObserverHint> Observers;
 };
 
 } // namespace toucan::session
--- a/src/session/transcript_test.cpp
+++ b/src/session/transcript_test.cpp
@@ -115,6 +115,9 @@
   View->Self = InstanceId("a");
   if (this->Owner != "none")
     View->Members.push_back({.Id = InstanceId(this->Owner)});
+  // A suspect member owns nothing.
+  if (!this->Observer.empty())
+    View->Members.push_back({.Id = InstanceId(this->Observer), .Status = member::State::Suspect});
   View->Groups.push_back({.Name = DatabaseName("orders")});
   auto Parsed = capture([&] { return rules::RuleSet::parse(this->Rules, "rules"); });
   REQUIRE_MESSAGE(Parsed, Parsed.Problem.Message);
@@ -128,6 +131,8 @@
     this->Rules += Rest + "\n";
   else if (Name == "owner")
     this->Owner = Rest;
+  else if (Name == "observer")
+    this->Observer = Rest;
   else if (Name == "rules_known")
     this->RulesKnown = Rest == "1";
   else
@@ -202,6 +207,10 @@
     D.mutable_observed()->set_term(At.InTerm.Value);
     D.mutable_observed()->set_position(At.Position);
   }
+  if (Given.contains("observer")) {
+    D.set_observer(Given["observer"]);
+    D.set_observer_valid_us(2'000'000);
+  }
   D.set_wrote(Given.contains("wrote"));
   D.set_chunks(Given.contains("chunks") ? number(Given["chunks"]) : 1);
   return D;
@@ -218,7 +227,9 @@
       C.mutable_frames()->append(targetFrame(Word));
     this->M->onChunk(C, this->Now, Out);
   } else if (Name == "done") {
-    this->M->onDone(InstanceId(this->Owner), this->doneFrom(Rest), this->Now, Out);
+    auto Given = pairs(Rest);
+    InstanceId From(Given.contains("from") ? Given["from"] : this->Owner);
+    this->M->onDone(From, this->doneFrom(Rest), this->Now, Out);
   } else if (Name == "unsent") {
     this->M->onUnsent(this->LastRequest, this->Now, Out);
   } else if (Name == "lost") {
--- a/src/session/transcript_test.h
+++ b/src/session/transcript_test.h
@@ -2,13 +2,13 @@
 //
 // A line "> event arguments" is an event; lines after it, indented by two blanks, are the actions.
 // Lines starting with "#" are comments. Events:
-//   rules TEXT, owner ID|none, rules_known 0|1     the view
+//   rules TEXT, owner ID|none, observer ID, rules_known 0|1     the view
 //   startup NAME=VALUE ..., ssl, raw HEX           packets before the session ("@T/P": signed
 //   token) query SQL, parse NAME|SQL, bind PORTAL|NAME, describe S|P NAME, execute PORTAL, close
 //   S|P NAME, sync, flush, frame TYPE        messages of the caller chunk SEQUENCE FRAME ... frames
 //   as TYPE or TYPE:TEXT ("E" needs a SQLSTATE) done NAME=VALUE ... reason, verdict, tx, lease,
-//   at=T/P, wrote, chunks unsent, lost INSTANCE, written BYTES (at most those that wait), wait MS,
-//   timer, cancel, drain, drain_deadline, gone
+//   at=T/P, wrote, chunks, from=ID, observer=ID (for 2 s) unsent, lost INSTANCE, written BYTES (at
+//   most those that wait), wait MS, timer, cancel, drain, drain_deadline, gone
 #ifndef TOUCAN_SESSION_TRANSCRIPT_TEST_H
 #define TOUCAN_SESSION_TRANSCRIPT_TEST_H
 
@@ -51,6 +51,7 @@
 
   std::string Rules;
   std::string Owner = "b";
+  std::string Observer; // a member that owns nothing
   bool RulesKnown = true;
   bool Started = false;
   Instant Timer = absl::InfiniteFuture();
