--- a/src/pool/pool_test.cpp
+++ b/src/pool/pool_test.cpp
@@ -578,6 +578,19 @@
   CHECK(D.observer().empty());
 }
 
+// Guards against a wrong "not run" for a request that waits for another attempt.
+TEST_CASE("a request that may have run is not refused as not run at its deadline") {
+  Rig T(byText);
+  T.exec(1, proto::READ, "hang");
+  REQUIRE(T.reached("hang"));
+  T.in([&] {
+    T.Watch->Group.Servers[0].Reachable = false;
+    T.Pool->onGroup(T.Watch->Group);
+    T.Primary.endAll();
+  });
+  CHECK(T.done(1).verdict() == proto::MAY_HAVE_RUN);
+}
+
 // Guards against a pool that refuses a redirected request because it has not watched the group yet.
 TEST_CASE("a request for a group whose state is not known yet waits for it") {
   Rig T(byText);
--- a/tests/cluster.cpp
+++ b/tests/cluster.cpp
@@ -111,6 +111,9 @@
       "--token-key=0123456789abcdef0123456789abcdef",
       absl::StrFormat("--platform-url=http://127.0.0.1:%d", PlatformAt),
   };
+  // Relays tell the proxies apart by this name.
+  if (this->Options.Relays)
+    Flags.push_back("--target-user=" + M.Name);
   M.P = std::make_unique<Process>("toucanrund", joined(Flags, this->Options.ProxyFlags),
                                   this->Dir.file(M.Name));
   M.Port = M.P->port("port");
--- a/tests/cluster.h
+++ b/tests/cluster.h
@@ -22,7 +22,8 @@
   int Connections = 25;
   std::vector<std::string> ServerFlags; // more flags of standin-db
   std::vector<std::string> ProxyFlags;  // more flags of toucanrund
-  // Connections between processes go through relays; those of the test itself do not.
+  // Connections between processes go through relays; those of the test itself do not. The proxies
+  // then use their names as user names at the servers, by which a relay tells them apart.
   bool Relays = false;
 };
 
--- a/tests/relay.cpp
+++ b/tests/relay.cpp
@@ -20,6 +20,7 @@
 constexpr size_t ReadBytes = 65536;
 constexpr size_t MaxUnsent = 262144; // reading stops over this, so that senders feel the receiver
 constexpr int Backlog = 128;
+constexpr size_t OpeningBytes = 512; // of a connection, which hold the start-up packet
 
 sockaddr_in loopback(uint16_t Port) {
   sockaddr_in Out{};
@@ -135,16 +136,45 @@
   for (Pair &P : this->Pairs) {
     if (P.Silent)
       continue;
-    P.Silent = true;
-    P.Near.Unsent.clear();
-    P.Far.Unsent.clear();
+    goSilent(P);
     ++Count;
-    CHECK(dropArriving(P.Near.Fd));
-    CHECK(dropArriving(P.Far.Fd));
   }
   return Count;
 }
 
+void Relay::goSilent(Pair &P) {
+  P.Silent = true;
+  P.Near.Unsent.clear();
+  P.Far.Unsent.clear();
+  CHECK(dropArriving(P.Near.Fd));
+  CHECK(dropArriving(P.Far.Fd));
+}
+
+void Relay::breakFor(const std::string &User, Path How) {
+  std::lock_guard Lock(this->Mutex);
+  this->BrokenUser = User;
+  this->BrokenAs = How;
+  for (Pair &P : this->Pairs)
+    this->breakPath(P);
+}
+
+void Relay::restore() { this->breakFor("", Path::Closed); }
+
+// Ends or silences a connection of the user whose path is broken.
+void Relay::breakPath(Pair &P) const {
+  // The packet is a list of names and values that end with a null byte.
+  std::string Wanted = std::string("user") + '\0' + this->BrokenUser + '\0';
+  if (P.Silent || this->BrokenUser.empty() || P.Opening.find(Wanted) == std::string::npos)
+    return;
+  if (this->BrokenAs == Path::Silent) {
+    goSilent(P);
+    return;
+  }
+  P.Near.Ended = P.Far.Ended = true;
+  P.Near.Unsent.clear();
+  P.Far.Unsent.clear();
+}
+
 void Relay::run() {
   for (;;) {
     std::vector<pollfd> Waits{{this->Listener, POLLIN, 0}};
@@ -189,11 +219,14 @@
 }
 
 void Relay::serve(Pair &P) {
-  this->forward(P.Near, P.Far, true);
-  this->forward(P.Far, P.Near, false);
+  this->forward(P.Near, P.Far, &P);
+  if (P.Silent)
+    return;
+  this->forward(P.Far, P.Near, nullptr);
 }
 
-void Relay::forward(Side &From, Side &To, bool ToTarget) {
+// Passes on what has arrived; Outward is the connection when To is the target.
+void Relay::forward(Side &From, Side &To, Pair *Outward) {
   std::array<char, ReadBytes> Buffer;
   while (!From.Ended && To.Unsent.size() < MaxUnsent) {
     ssize_t Got = ::recv(From.Fd, Buffer.data(), Buffer.size(), MSG_DONTWAIT);
@@ -206,9 +239,15 @@
     std::string Text(Buffer.data(), static_cast<size_t>(Got));
     for (const auto &[Old, New] : this->Replacements)
       replaceAll(Text, Old, New);
-    if (ToTarget && !this->Watched.empty() && Text.find(this->Watched) != std::string::npos)
+    if (Outward && !this->Watched.empty() && Text.find(this->Watched) != std::string::npos)
       this->WatchedSeen = true;
     To.Unsent += Text;
+    if (Outward && Outward->Opening.size() < OpeningBytes) {
+      Outward->Opening += Text;
+      this->breakPath(*Outward);
+      if (Outward->Silent)
+        return;
+    }
   }
   if (!flush(To.Fd, To.Unsent)) {
     From.Ended = To.Ended = true;
--- a/tests/relay.h
+++ b/tests/relay.h
@@ -36,6 +36,16 @@
   // both directions and neither end gets an acknowledgement or a reset. New connections pass.
   // Returns how many were not silent before.
   size_t silence();
+  // How a path is broken.
+  enum class Path : uint8_t {
+    Closed, // connections end at once
+    Silent, // they stay open, and nothing arrives on either side
+  };
+  // Breaks the path of the PostgreSQL connections of one user, open and later ones. Those of others
+  // pass. Ends an earlier break.
+  void breakFor(const std::string &User, Path How);
+  // New connections of all users pass.
+  void restore();
   // Number of connections accepted so far.
   size_t accepted() const;
 
@@ -49,12 +59,15 @@
     Side Near; // towards the connecting process
     Side Far;  // towards the target
     bool Silent = false;
+    std::string Opening; // first bytes from the connecting process
   };
 
   void run();
   void accept();
+  static void goSilent(Pair &P);
+  void breakPath(Pair &P) const;
   void serve(Pair &P);
-  void forward(Side &From, Side &To, bool ToTarget);
+  void forward(Side &From, Side &To, Pair *Outward);
   void closeEnded();
 
   int Listener = -1;
@@ -66,6 +79,8 @@
   std::string Watched;
   bool WatchedSeen = false;
   size_t AcceptedCount = 0;
+  std::string BrokenUser; // empty: none
+  Path BrokenAs = Path::Closed;
   std::list<Pair> Pairs;
   std::thread Thread;
 };
--- a/tests/workload.cpp
+++ b/tests/workload.cpp
@@ -53,6 +53,7 @@
 
 void Workload::note(uint64_t Id, const Answer &A) {
   std::lock_guard Lock(this->Mutex);
+  this->noteService(this->ServiceOf[Id / IdsOfWriter], Clock::now(), A.ok());
   if (A.ok()) {
     this->Outcomes[Id] = Outcome::Acknowledged;
     ++this->AcknowledgedCount;
@@ -62,6 +63,30 @@
   ++this->Problems[A.State + " " + A.Message];
 }
 
+void Workload::noteService(Service &S, Clock::time_point Now, bool Acknowledged) {
+  using std::chrono::duration_cast;
+  using std::chrono::milliseconds;
+  auto Since = [&](Clock::time_point Start) { return duration_cast<milliseconds>(Now - Start); };
+  this->Worst.Unserved = std::max(this->Worst.Unserved, Since(S.Acknowledged));
+  if (!S.FirstError && !Acknowledged)
+    S.FirstError = Now;
+  if (S.FirstError)
+    this->Worst.Failing = std::max(this->Worst.Failing, Since(*S.FirstError));
+  if (Acknowledged)
+    S = Service{.Acknowledged = Now, .FirstError = std::nullopt};
+}
+
+void Workload::watchGaps() {
+  std::lock_guard Lock(this->Mutex);
+  this->ServiceOf.clear();
+  this->Worst = Gaps{};
+}
+
+Workload::Gaps Workload::gaps() const {
+  std::lock_guard Lock(this->Mutex);
+  return this->Worst;
+}
+
 bool Workload::waitAcknowledged(uint64_t More) const {
   uint64_t Goal = this->AcknowledgedCount + More;
   return eventually([&] { return this->AcknowledgedCount >= Goal; });
--- a/tests/workload.h
+++ b/tests/workload.h
@@ -5,9 +5,11 @@
 #include "client.h"
 
 #include <atomic>
+#include <chrono>
 #include <cstdint>
 #include <map>
 #include <mutex>
+#include <optional>
 #include <string>
 #include <thread>
 #include <vector>
@@ -30,6 +32,13 @@
   uint64_t acknowledged() const { return this->AcknowledgedCount; }
   // Waits until More writes have been acknowledged from now on.
   bool waitAcknowledged(uint64_t More) const;
+  // How long callers went without service, the worst of all writers, since watchGaps().
+  struct Gaps {
+    std::chrono::milliseconds Unserved{0}; // between two acknowledged writes
+    std::chrono::milliseconds Failing{0};  // from an error to the next acknowledged write
+  };
+  void watchGaps();
+  Gaps gaps() const;
   // Ends the writers.
   void stop();
   // What is wrong with the rows of ReadAll after stop(); empty when nothing is.
@@ -40,9 +49,15 @@
   std::string summary() const;
 
 private:
+  using Clock = std::chrono::steady_clock;
+  struct Service {
+    Clock::time_point Acknowledged = Clock::now(); // or start of the watch
+    std::optional<Clock::time_point> FirstError;   // since then
+  };
   enum class Outcome : uint8_t { Acknowledged, Unknown, NotRun };
   void write(size_t Writer);
   void note(uint64_t Id, const Answer &A);
+  void noteService(Service &S, Clock::time_point Now, bool Acknowledged);
 
   const std::vector<ClientOptions> Places;
   std::atomic<bool> Stopping = false;
@@ -50,6 +65,8 @@
   mutable std::mutex Mutex;
   std::map<uint64_t, Outcome> Outcomes;     // last outcome of each id
   std::map<std::string, uint64_t> Problems; // messages of other outcomes
+  std::map<uint64_t, Service> ServiceOf;    // by writer
+  Gaps Worst;
   std::vector<std::thread> Threads;
 };
 
