--- a/bench/load.cpp
+++ b/bench/load.cpp
@@ -314,9 +314,8 @@
 // Gives due requests to idle callers, the oldest first.
 void Run::arrive() {
   while (!this->IdleCallers.empty() && !this->Backlog.empty()) {
-    Job J = this->Backlog.front();
     // Sessions that write get their requests in random order; the last one would get most of them.
-    if (this->Options.Streams[J.StreamIndex].WriteShare > 0)
+    if (this->Options.Streams[this->Backlog.front().StreamIndex].WriteShare > 0)
       std::swap(this->IdleCallers[this->Random() % this->IdleCallers.size()],
                 this->IdleCallers.back());
     Caller *C = this->IdleCallers.back();
