Pool: learned run times classify statements without a class rule

Cause: a statement that takes seconds and has no class rule was short work, so its callers took all slots of a target and short requests waited for them (design, section 5, "Learned run time"). Ruled out: the average without a limit for one run, because one lock wait of an hour would make a statement of 5 ms long for 80 runs; learning from requests that execute nothing (Parse and Describe of a driver), which would make a long statement short; a cut-off run that lowers the estimate. ExecRequest has class_by_rule, which goes before the estimate. Setting learn=on|off, counter pool_requests_learned_long_total.

--- a/scripts/measure.sh
+++ b/scripts/measure.sh
@@ -1,14 +1,14 @@
 #!/usr/bin/env bash
-# Measures blocking of short work behind long work, service in a reconnect surge, and the failover
+# Measures blocking of short work behind long work (by rule and learned), service in a reconnect surge, and the failover
 # gap, with real processes on loopback. Prints one line of key=value pairs a run.
-# Usage: scripts/measure.sh blocking|surge|failover|split [RUNS]   (default 5 runs)
+# Usage: scripts/measure.sh blocking|surge|failover|split|learned [RUNS]   (default 5 runs)
 set -euo pipefail
 cd "$(dirname "$0")/.."
 what=${1:-}
 runs=${2:-5}
 case "$what" in
-  blocking|surge|failover|split) ;;
-  *) echo "usage: scripts/measure.sh blocking|surge|failover|split [RUNS]" >&2; exit 2 ;;
+  blocking|surge|failover|split|learned) ;;
+  *) echo "usage: scripts/measure.sh blocking|surge|failover|split|learned [RUNS]" >&2; exit 2 ;;
 esac
 scripts/build.sh plain toucanrund toucanctl toucan-load standin-db standin-platform
 bin=$PWD/build
@@ -156,7 +156,32 @@
   done
 }
 
-if [ "$what" = split ]; then
+# Short lookups as in measure_blocking beside a statement of 2 s that no rule names, with and without
+# learned run times. The first seconds, in which the statement is not known yet, are not measured.
+measure_learned() {
+  local run at long
+  for at in on off; do
+    stop_all
+    all_pids=() proxy_pid=() proxy_port=() proxy_link=() proxy_http=()
+    rm -rf "$work"/data-*
+    export TOUCANRUN_LEARN=$at
+    start_all
+    create_tables
+    sql 0 orders "create table if not exists journal(id integer primary key, v text)"
+    sql 0 orders "insert into journal values (1, 'x') on conflict do nothing"
+    sql 0 orders "select sleep_ms(2000) from journal" >/dev/null
+    for run in $(seq "$runs"); do
+      for long in 0 3; do
+        echo "measure=learned run=$run at=$at long=$long $(load --callers=40 --short-rate=100 \
+          --short-sql='select sleep_ms(5) from stock' --long-callers="$long" \
+          --long-sql='select sleep_ms(2000) from journal' --duration-ms=6000 --deadline-ms=2000 \
+          --seed="$run" | tr '\n' ' ')"
+      done
+    done
+  done
+}
+
+if [ "$what" = split ] || [ "$what" = learned ]; then
   start_platform
 else
   start_all
--- a/src/pool/execute.cpp
+++ b/src/pool/execute.cpp
@@ -264,7 +264,8 @@
   C.Request = TicketId();
   C.LastPosition = R.Reply->position();
   D.Dispatch.observe(R.Target, C.LastPosition);
-  D.Dispatch.ended(R.Target, R.workClass(), this->InLoop.now() - R.Started);
+  D.Dispatch.ended(R.Target, R.Class, this->InLoop.now() - R.Started);
+  this->learn(R, C.CancelSent ? RunEnd::CutOff : RunEnd::Answered);
   bool Clean = C.unread() == 0 && C.written();
   if (R.Reply->status() != 'I' && Clean && !R.Abandoned) {
     this->keepLease(R, C);
@@ -280,6 +281,11 @@
   this->pump(D);
 }
 
+void PoolService::Impl::learn(const Request &R, RunEnd End) {
+  if (this->Options.Learn && R.learns())
+    R.Database->Learned.record(R.Exec.fingerprint(), this->InLoop.now() - R.Started, End);
+}
+
 void PoolService::Impl::finish(Request &R) {
   if (R.Abandoned) {
     this->Requests.erase(R.Id);
@@ -319,8 +325,9 @@
     this->fail(R, Reason::LeaseUnknown, Verdict::NotRun, Why);
     return;
   }
-  D.Dispatch.ended(R.Target, R.workClass(), std::nullopt);
+  D.Dispatch.ended(R.Target, R.Class, std::nullopt);
   if (R.Abandoned) {
+    this->learn(R, RunEnd::CutOff);
     this->Requests.erase(R.Id);
     return;
   }
--- a/src/pool/pool.cpp
+++ b/src/pool/pool.cpp
@@ -237,9 +237,18 @@
   });
 }
 
+// The class that a rule has set, or else the learned one.
+rules::WorkClass PoolService::Impl::classOf(const Request &R) {
+  if (R.Exec.work_class() == proto::LONG)
+    return rules::WorkClass::Long;
+  if (!this->Options.Learn || !R.learns())
+    return rules::WorkClass::Short;
+  return R.Database->Learned.classOf(R.Exec.fingerprint());
+}
+
 Ticket PoolService::Impl::ticketOf(const Request &R) const {
   Ticket T{.Id = R.Id,
-           .Class = R.workClass(),
+           .Class = R.Class,
            .FairnessKey = R.Exec.fairness_key(),
            .ReplicaAllowed = R.read() && R.Exec.max_age_us() > 0 && R.Exec.lease() == 0,
            .MaxAge = absl::Microseconds(R.Exec.max_age_us()),
@@ -303,6 +312,9 @@
     It->second.On->Request = R.Id;
   }
   R.At = Stage::Queued;
+  R.Class = this->classOf(R);
+  if (R.Class == rules::WorkClass::Long && R.Exec.work_class() != proto::LONG)
+    this->Counters.add("pool_requests_learned_long_total");
   DatabaseState &D = *R.Database;
   if (auto Refused = D.Dispatch.admit(this->ticketOf(R), this->InLoop.now())) {
     this->fail(R, Refused->Why, Verdict::NotRun, "", Refused->RetryAfter);
--- a/src/pool/pool_test.cpp
+++ b/src/pool/pool_test.cpp
@@ -257,6 +257,48 @@
   CHECK(is(T.run(2, proto::WRITE, "insert"), proto::RAN, Reason::None));
 }
 
+// Guards against a statement that is short again each time, against a learned class that takes the
+// place of a rule, and against requests of transactions that change their class.
+TEST_CASE("the pool learns the class of a statement from its run times") {
+  Rig T(byText);
+  bool ByRule = false;
+  bool InTransaction = false;
+  bool Learns = true;
+  SUBCASE("without a rule") {}
+  SUBCASE("with a rule") {
+    ByRule = true;
+    Learns = false;
+  }
+  SUBCASE("in a transaction") {
+    InTransaction = true;
+    Learns = false;
+  }
+  uint64_t Lease = InTransaction ? T.run(9, proto::TRANSACTION, "begin").lease() : 0;
+  auto Run = [&](uint64_t Id, const std::string &Sql) {
+    T.send([&](proto::Envelope &E) {
+      proto::ExecRequest &R = *E.mutable_exec();
+      R.set_request_id(Id);
+      R.set_session_id(1);
+      R.set_database("db");
+      R.set_kind(InTransaction ? proto::TRANSACTION : proto::READ);
+      R.set_frames(wire::query(Sql));
+      R.set_budget_us(700'000);
+      R.set_fingerprint(17);
+      R.set_class_by_rule(ByRule);
+      R.set_lease(Lease);
+    });
+    return T.done(Id);
+  };
+  // Cut off by its deadline after 700 ms, which is more than a short statement takes.
+  if (!InTransaction)
+    CHECK(is(Run(1, "hang"), proto::MAY_HAVE_RUN, Reason::RequestDeadline));
+  T.in([&] { CHECK(T.Counters.value("pool_requests_learned_long_total") == 0); });
+  // The target does not answer the cancel either, so its connection is closed after 1 s.
+  absl::SleepFor(InTransaction ? absl::ZeroDuration() : absl::Milliseconds(1200));
+  CHECK(is(Run(2, "quick"), proto::RAN, Reason::None));
+  T.in([&] { CHECK(T.Counters.value("pool_requests_learned_long_total") == (Learns ? 1 : 0)); });
+}
+
 // Guards against a request that counts as not run and is completed by the Terminate frame.
 TEST_CASE("a request that was partly written is tried again and runs once") {
   Rig T([](auto &, int, const auto &) { return answer("INSERT 0 1"); });
--- a/src/pool/service.h
+++ b/src/pool/service.h
@@ -8,6 +8,7 @@
 #include "pool/outcome.h"
 #include "pool/pool.h"
 #include "pool/relay.h"
+#include "pool/runtime.h"
 
 #include "absl/container/flat_hash_map.h"
 
@@ -40,8 +41,9 @@
   Instant Deadline;
   Instant Started; // on the present connection
   Stage At = Stage::Queued;
-  Connection *On = nullptr; // while running
-  bool Sent = false;        // the frames were given to the connection
+  rules::WorkClass Class = rules::WorkClass::Short; // fixed when the request is queued
+  Connection *On = nullptr;                         // while running
+  bool Sent = false;                                // the frames were given to the connection
   std::unique_ptr<Relay> Reply;
   std::unique_ptr<KeyedRequest> Keyed; // unrepeatable, with a request id
   TargetId Target;
@@ -55,9 +57,10 @@
   bool repeatable() const {
     return this->Exec.lease() == 0 && (this->Keyed || (this->read() && !this->Exec.once()));
   }
-  rules::WorkClass workClass() const {
-    return this->Exec.work_class() == proto::LONG ? rules::WorkClass::Long
-                                                  : rules::WorkClass::Short;
+  // Requests of open transactions keep the class that they came with, as do those that execute
+  // nothing: their run time says nothing of the statement.
+  bool learns() const {
+    return this->Exec.lease() == 0 && !this->Exec.class_by_rule() && executes(this->Plan);
   }
 };
 
@@ -83,6 +86,7 @@
       : Group(std::move(G)), Dispatch(Options) {}
   member::Group Group;
   Dispatcher Dispatch;
+  RunTimes Learned;
   std::optional<Term> CurrentTerm;
   std::optional<TargetId> Primary;
   std::vector<Connection *> Idle; // the most recently used last
@@ -122,6 +126,7 @@
   void hold(Request &R);
   group::PrimaryUse primaryUse(const DatabaseState &D) const;
   void reportUse(DatabaseState &D);
+  rules::WorkClass classOf(const Request &R);
   Ticket ticketOf(const Request &R) const;
   void countRefusal(Reason Why);
   // Sends a refusal of a request that is not known yet.
@@ -153,6 +158,8 @@
   void onConfirmed(TicketId Id, LogPosition Position, group::ConfirmResult Result);
   void sendChunks(Request &R);
   void answered(Request &R);
+  // Learns from the run of a request that has ended at its target.
+  void learn(const Request &R, RunEnd End);
   void finish(Request &R);
   void onConnectionEnd(Request &R, bool TermOver, bool Written, const std::string &Why);
   void runAgain(Request &R);
--- a/src/rules/lookup.cpp
+++ b/src/rules/lookup.cpp
@@ -24,9 +24,7 @@
 
 // Any matching rule forbids repetition.
 bool RuleSet::isOnce(const DatabaseRules &Rules, const RequestFacts &Facts) {
-  return Rules.Onces.ByFingerprint.contains(Facts.Fingerprint) ||
-         std::any_of(Facts.Tables.begin(), Facts.Tables.end(),
-                     [&](const std::string &T) { return Rules.Onces.ByTable.contains(T); });
+  return anyMatches(Rules.Onces, Facts);
 }
 
 // The fingerprint's rule, else long if one of the tables is long.
@@ -48,7 +46,8 @@
     return {};
   return {.MaxAge = maxAge(It->second, Facts),
           .Once = isOnce(It->second, Facts),
-          .Class = classOf(It->second, Facts)};
+          .Class = classOf(It->second, Facts),
+          .ClassByRule = anyMatches(It->second.Classes, Facts)};
 }
 
 TargetState RuleSet::targetState(const DatabaseName &Database, const TargetId &Target) const {
--- a/src/rules/rules.h
+++ b/src/rules/rules.h
@@ -7,6 +7,7 @@
 
 #include "absl/container/flat_hash_map.h"
 
+#include <algorithm>
 #include <cstdint>
 #include <string>
 #include <string_view>
@@ -33,6 +34,7 @@
   bool Once = false; // may not be repeated: a rule matches the fingerprint or one of the tables
   // Of the fingerprint's rule; without one, long if a table is long.
   WorkClass Class = WorkClass::Short;
+  bool ClassByRule = false; // a class rule matches the fingerprint or one of the tables
 };
 
 // An immutable set of rules. Thread-safe.
@@ -64,6 +66,11 @@
   static absl::Duration maxAge(const DatabaseRules &Rules, const RequestFacts &Facts);
   static bool isOnce(const DatabaseRules &Rules, const RequestFacts &Facts);
   static WorkClass classOf(const DatabaseRules &Rules, const RequestFacts &Facts);
+  template <class T> static bool anyMatches(const Selected<T> &Rules, const RequestFacts &Facts) {
+    return Rules.ByFingerprint.contains(Facts.Fingerprint) ||
+           std::any_of(Facts.Tables.begin(), Facts.Tables.end(),
+                       [&](const std::string &Table) { return Rules.ByTable.contains(Table); });
+  }
 
   std::string Text;
   absl::flat_hash_map<std::string, DatabaseRules> Databases;
--- a/src/rules/rules_test.cpp
+++ b/src/rules/rules_test.cpp
@@ -58,6 +58,11 @@
   CHECK(R.policyFor(facts("orders", {"sites"}, 0x1234abcd)).Class == WorkClass::Long);
   CHECK(R.policyFor(facts("orders", {"sites", "ledger"})).Class == WorkClass::Long);
   CHECK(R.policyFor(facts("orders", {"ledger"}, 2)).Class == WorkClass::Short);
+  // Guards against a learned class that takes the place of a rule.
+  CHECK(R.policyFor(facts("orders", {"sites"}, 0x1234abcd)).ClassByRule);
+  CHECK(R.policyFor(facts("orders", {"sites", "ledger"})).ClassByRule);
+  CHECK(R.policyFor(facts("orders", {"ledger"}, 2)).ClassByRule);
+  CHECK_FALSE(R.policyFor(facts("orders", {"sites"})).ClassByRule);
   CHECK(R.targetState(DatabaseName("orders"), TargetId("orders-2")) == TargetState::Leaving);
   CHECK(R.targetState(DatabaseName("rounds"), TargetId("orders-2")) == TargetState::Active);
   CHECK(RuleSet().policyFor(facts("rounds", {"clearances"})).MaxAge == absl::ZeroDuration());
--- a/src/session/machine_request.cpp
+++ b/src/session/machine_request.cpp
@@ -109,6 +109,7 @@
     All.Once = All.Once || P.Once;
     if (P.Class == rules::WorkClass::Long)
       All.Class = P.Class;
+    All.ClassByRule = All.ClassByRule || P.ClassByRule;
     First = false;
   }
   return All;
@@ -133,6 +134,7 @@
     E.add_hidden(Index);
   E.set_kind(R.IsRead ? proto::READ : Tx.open() || B.Begins ? proto::TRANSACTION : proto::WRITE);
   E.set_work_class(P.Class == rules::WorkClass::Long ? proto::LONG : proto::SHORT);
+  E.set_class_by_rule(P.ClassByRule);
   E.set_max_age_us(R.IsRead ? absl::ToInt64Microseconds(P.MaxAge) : 0);
   E.set_lease(Tx.Lease.Value);
   R.KeyFromSetting = B.RequestKey.empty() && B.Writes;
