--- a/tests/slow_test.cpp
+++ b/tests/slow_test.cpp
@@ -38,6 +38,7 @@
   std::atomic<bool> Stop = false;
   std::atomic<int> LongDone = 0;
   std::vector<std::thread> Callers;
+  Callers.reserve(LongCallers);
   for (int I = 0; I < LongCallers; ++I)
     Callers.emplace_back([&, I] {
       Client Caller = C.client(static_cast<size_t>(I) % C.proxies());
