Session: test that a request says whether a rule has set its class

Cause: only the process tests covered class_by_rule on the side of the session. Conclusion: the field is covered on both sides.

No functional change

--- a/src/session/machine_test.cpp
+++ b/src/session/machine_test.cpp
@@ -65,6 +65,18 @@
   }
 }
 
+// Guards against a learned class that takes the place of a rule, also of one that says short.
+TEST_CASE("a request says whether a rule has set its class") {
+  Transcript T;
+  T.event(
+      "rules class database=orders table=bookings class=short # bookings are short: site office");
+  start(T);
+  CHECK(has(joined(T.event("query insert into bookings values (1)")), "class_by_rule"));
+  Transcript Other;
+  start(Other);
+  CHECK_FALSE(has(joined(Other.event("query insert into t values (1)")), "class_by_rule"));
+}
+
 // Guards against an answer without its end after a Done of another version.
 TEST_CASE("an unknown reason or verdict counts as an unknown outcome") {
   Transcript T;
--- a/src/session/transcript_test.cpp
+++ b/src/session/transcript_test.cpp
@@ -337,6 +337,8 @@
     absl::StrAppendFormat(&Out, " key=%s", R.request_key());
   if (R.work_class() == proto::LONG)
     Out += " long";
+  if (R.class_by_rule())
+    Out += " class_by_rule";
   return Out;
 }
 
