Bench: the signature covers the learned run times

Cause: toucan-bench hashed no decision of pool/runtime, so a commit could change them unnoticed. Ruled out: learning inside the dispatch part; it would hide which of the two has changed. Change: part "run times" with 600 statements in a table of 500, some of which change their run time.

--- a/bench/signature_main.cpp
+++ b/bench/signature_main.cpp
@@ -3,11 +3,13 @@
 // commit that claims "No functional change" must leave it as it is.
 #include "member/member.h"
 #include "pool/dispatch.h"
+#include "pool/runtime.h"
 #include "rules/rules.h"
 #include "sql/sql.h"
 
 #include "absl/strings/str_format.h"
 
+#include <algorithm>
 #include <cstdio>
 #include <map>
 #include <memory>
@@ -26,6 +28,7 @@
 constexpr int MembershipSteps = 300;
 constexpr int Statements = 3000;
 constexpr int RuleLookups = 20'000;
+constexpr int Runs = 200'000;
 
 // FNV-1a over everything that was decided.
 class Signature {
@@ -207,12 +210,28 @@
   return Out.value();
 }
 
+// Statements whose run times change now and then, more of them than the table holds.
+uint64_t benchRunTimes() {
+  Signature Out;
+  std::mt19937_64 Random(Seed);
+  pool::RunTimes Times(500);
+  for (int I = 0; I < Runs; ++I) {
+    uint64_t Statement = 1 + std::min(Random() % 600, Random() % 600);
+    bool Slow = (Statement + static_cast<uint64_t>(I) / 50'000) % 10 == 0;
+    Out.add(static_cast<uint64_t>(Times.classOf(Statement)));
+    Times.record(Statement, absl::Milliseconds(Random() % (Slow ? 2000 : 300)),
+                 Random() % 20 == 0 ? pool::RunEnd::CutOff : pool::RunEnd::Answered);
+  }
+  return Out.value();
+}
+
 struct Part {
   const char *Name;
   uint64_t (*Run)();
 };
 
 constexpr Part Parts[] = {{"dispatch", benchDispatch},
+                          {"run times", benchRunTimes},
                           {"membership", benchMembership},
                           {"sql", benchSql},
                           {"rules", benchRules}};
