Bench: processor time of a change of the view, bytes of control connections

Cause: docs/CAPACITY.md has no measured figure for a change of the view at full size, and counts the bytes of probes from the message formats. Ruled out: sizes from libpq (it does not tell them) and from the message formats (they miss set-up and ParameterStatus). Change: toucan-view-cost times a change of the view with 17,000 groups and 2,600 members. The channels of the group monitor count the bytes of their connections as the kernel has them (TCP_INFO) into control_sent_bytes_total and control_received_bytes_total; scripts/slopes.sh servers prints them. Bytes that are not acknowledged when a connection is closed are not counted. Test: the case "a group on sockets: first term, confirmed write, verified read" checks both counters.

--- /dev/null
+++ b/bench/view_cost_main.cpp
@@ -0,0 +1,164 @@
+// toucan-view-cost: processor time that one change of the view takes at the size of two years.
+#include "base/settings.h"
+#include "member/member.h"
+
+#include "absl/strings/str_format.h"
+
+#include <algorithm>
+#include <cstdio>
+#include <ctime>
+#include <random>
+#include <string>
+#include <vector>
+
+using namespace toucan;
+using namespace toucan::member;
+
+namespace {
+
+constexpr std::string_view Usage = R"(toucan-view-cost: time of one change of the view.
+
+Usage:
+  toucan-view-cost [options]
+  toucan-view-cost --help
+
+Prints one line of key=value pairs for each way and event: the median and the highest processor time
+until the view is built and the owner of each database is known. way=full copies the groups and computes every
+owner anew. Exit codes: 0 the run ended, 2 wrong setting.
+)";
+
+constexpr Setting Table[] = {
+    {.Name = "members",
+     .Kind = SettingKind::Integer,
+     .Default = "2600",
+     .Min = 2,
+     .Max = 100000,
+     .Help = "Members of the view."},
+    {.Name = "groups",
+     .Kind = SettingKind::Integer,
+     .Default = "17000",
+     .Min = 1,
+     .Max = 1000000,
+     .Help = "Databases of the view, with three servers each."},
+    {.Name = "runs",
+     .Kind = SettingKind::Integer,
+     .Default = "3",
+     .Min = 1,
+     .Max = 100000,
+     .Help = "Changes of each kind and way."},
+};
+
+constexpr int DataCentres = 29;
+constexpr int Regions = 11;
+constexpr int Servers = 3;
+constexpr uint64_t Seed = 1;
+
+absl::Duration cpuTime() {
+  timespec Now{};
+  clock_gettime(CLOCK_THREAD_CPUTIME_ID, &Now);
+  return absl::DurationFromTimespec(Now);
+}
+
+Place placeOf(uint64_t Dc) {
+  return {DataCentre(absl::StrFormat("dc-%d", Dc)),
+          Region(absl::StrFormat("region-%d", Dc % Regions))};
+}
+
+std::vector<Member> makeMembers(int64_t Count) {
+  std::vector<Member> Out;
+  for (int64_t I = 0; I < Count; ++I)
+    Out.push_back({.Id = InstanceId(absl::StrFormat("proxy-%d", I)),
+                   .LinkEndpoint = absl::StrFormat("10.0.%d.%d:6000", I / 256, I % 256),
+                   .At = placeOf(static_cast<uint64_t>(I) % DataCentres),
+                   .Incarnation = 1});
+  return Out;
+}
+
+std::vector<Group> makeGroups(int64_t Count) {
+  std::mt19937_64 Random(Seed);
+  std::vector<Group> Out;
+  for (int64_t I = 0; I < Count; ++I) {
+    Group G{.Name = DatabaseName(absl::StrFormat("database-%d", I)),
+            .SlotsPerTarget = 2,
+            .ConnectionsPerTarget = 30};
+    for (int S = 0; S < Servers; ++S)
+      G.Targets.push_back({.Id = TargetId(absl::StrFormat("database-%d-%d", I, S)),
+                           .Host = "10.1.0.1",
+                           .Port = 5432,
+                           .At = placeOf(Random() % DataCentres)});
+    Out.push_back(std::move(G));
+  }
+  return Out;
+}
+
+// Every part of a change done anew, as views were built before ownership was incremental.
+size_t fullChange(const std::vector<Member> &Members, const std::vector<Group> &Groups,
+                  const std::shared_ptr<const rules::RuleSet> &Rules) {
+  View V;
+  V.Members = Members;
+  std::vector<Group> Copy = Groups;
+  for (Group &G : Copy)
+    for (Target &T : G.Targets)
+      T.Status = Rules->targetState(G.Name, T.Id);
+  V.Groups = std::move(Copy);
+  V.Rules = Rules;
+  size_t Owned = 0;
+  for (const Group &G : Groups)
+    Owned += V.ownerOf(G.Name) == Members[0].Id ? 1 : 0;
+  return Owned;
+}
+
+struct Event {
+  const char *Name;
+  State Before;
+  State After;
+};
+
+constexpr Event Events[] = {{"dies", State::Alive, State::Dead},
+                            {"comes", State::Joining, State::Alive},
+                            {"suspect", State::Alive, State::Suspect},
+                            {"back", State::Suspect, State::Alive}};
+
+void print(const char *Way, const Event &E, std::vector<absl::Duration> Times, size_t Owned) {
+  std::sort(Times.begin(), Times.end());
+  std::printf("way=%s event=%s runs=%zu median_ms=%.3f highest_ms=%.3f owned=%zu\n", Way, E.Name,
+              Times.size(), absl::ToDoubleMilliseconds(Times[Times.size() / 2]),
+              absl::ToDoubleMilliseconds(Times.back()), Owned);
+  std::fflush(stdout);
+}
+
+void run(const SettingValues &V) {
+  std::vector<Group> Groups = makeGroups(V.integer("groups"));
+  auto Rules = std::make_shared<const rules::RuleSet>();
+  for (const Event &E : Events) {
+    std::vector<Member> Members = makeMembers(V.integer("members"));
+    std::vector<absl::Duration> Times;
+    size_t Owned = 0;
+    for (int64_t I = 0; I < V.integer("runs"); ++I) {
+      Member &Changed = Members[static_cast<size_t>(I + 1) % Members.size()];
+      Changed.Status = E.After;
+      absl::Duration Start = cpuTime();
+      Owned = fullChange(Members, Groups, Rules);
+      Times.push_back(cpuTime() - Start);
+      Changed.Status = State::Alive;
+    }
+    print("full", E, std::move(Times), Owned);
+  }
+}
+
+} // namespace
+
+int main(int Argc, char **Argv) {
+  std::vector<std::string> Args(Argv + 1, Argv + Argc);
+  auto Line = capture([&] { return parseCommandLine(Usage, Table, "TOUCANVIEW_", "0.1.0", Args); });
+  if (!Line) {
+    std::fprintf(stderr, "toucan-view-cost: %s\n", Line.Problem.Message.c_str());
+    return 2;
+  }
+  if (Line->Print) {
+    std::fputs(Line->Print->c_str(), stdout);
+    return 0;
+  }
+  run(Line->Settings);
+  return 0;
+}
--- a/scripts/slopes.sh
+++ b/scripts/slopes.sh
@@ -98,18 +98,20 @@
   all_pids=()
 }
 
-# CPU of one daemon by the number of monitored servers, without load.
+# CPU and bytes of the control connections of one daemon by the number of monitored servers, without
+# load.
 measure_servers() {
-  local count c0 seconds=10
+  local count c0 s0 r0 seconds=10
   for count in 1 3 6; do
     databases=()
     for i in $(seq "$count"); do databases+=("db$i"); done
     all_pids=() proxy_pid=() proxy_port=() proxy_link=() proxy_http=()
     start_some 1
     sleep 3
-    c0=$(cpu_ms "${proxy_pid[0]}")
+    s0=$(metric 0 control_sent_bytes_total) r0=$(metric 0 control_received_bytes_total) c0=$(cpu_ms "${proxy_pid[0]}")
     sleep "$seconds"
-    echo "measure=servers servers=$((count * 3)) cpu_ms_per_s=$(awk "BEGIN {print ($(cpu_ms "${proxy_pid[0]}") - $c0) / $seconds}") rss_kb=$(rss_kb "${proxy_pid[0]}")"
+    echo "measure=servers servers=$((count * 3)) sent_bytes_per_s=$((($(metric 0 control_sent_bytes_total) - s0) / seconds))" \
+      "received_bytes_per_s=$((($(metric 0 control_received_bytes_total) - r0) / seconds)) cpu_ms_per_s=$(awk "BEGIN {print ($(cpu_ms "${proxy_pid[0]}") - $c0) / $seconds}") rss_kb=$(rss_kb "${proxy_pid[0]}")"
     stop_all
   done
   all_pids=()
--- a/src/group/channel.cpp
+++ b/src/group/channel.cpp
@@ -1,6 +1,9 @@
 #include "group/channel.h"
 
+#include <linux/tcp.h>
+#include <netinet/in.h>
 #include <sys/epoll.h>
+#include <sys/socket.h>
 
 #include <array>
 #include <cassert>
@@ -182,6 +185,7 @@
   if (this->Timer)
     this->InLoop.cancel(*this->Timer);
   this->Timer.reset();
+  this->countBytes();
   Callback Call = std::exchange(this->Then, {});
   Call(Got);
 }
@@ -191,10 +195,30 @@
   this->finish({.Row = std::nullopt, .Failure = Failure});
 }
 
+// libpq does not tell the sizes of messages, so they come from the kernel: acknowledged bytes sent
+// and bytes received, with those of the connection's set-up. Bytes that the server had not
+// acknowledged when the connection was closed are not counted.
+void Channel::countBytes() {
+  tcp_info Info{};
+  socklen_t Length = sizeof Info;
+  if (!this->Connection || !this->Options.Counters ||
+      getsockopt(PQsocket(this->Connection), IPPROTO_TCP, TCP_INFO, &Info, &Length) != 0)
+    return;
+  this->Options.Counters->add("control_sent_bytes_total", Info.tcpi_bytes_acked - this->SentBytes);
+  this->Options.Counters->add("control_received_bytes_total",
+                              Info.tcpi_bytes_received - this->ReceivedBytes);
+  this->SentBytes = Info.tcpi_bytes_acked;
+  this->ReceivedBytes = Info.tcpi_bytes_received;
+}
+
 void Channel::close() {
   this->unwatchSocket();
-  if (this->Connection)
+  if (this->Connection) {
+    this->countBytes();
     PQfinish(this->Connection);
+  }
+  this->SentBytes = 0;
+  this->ReceivedBytes = 0;
   this->Connection = nullptr;
   this->Connected = false;
 }
--- a/src/group/channel.h
+++ b/src/group/channel.h
@@ -3,10 +3,12 @@
 #define TOUCAN_GROUP_CHANNEL_H
 
 #include "base/loop.h"
+#include "base/metrics.h"
 #include "group/status.h"
 
 #include <libpq-fe.h>
 
+#include <cstdint>
 #include <functional>
 #include <optional>
 #include <string>
@@ -19,6 +21,7 @@
   std::string Database;
   std::string User;
   std::string Password;
+  Metrics *Counters = nullptr; // of the bytes sent and received, if set
 };
 
 // Opens its connection with the first call and again after each failure. A call that is not
@@ -48,6 +51,7 @@
   void finish(const Answer &Got);
   void fail(CallFailure Failure);
   void failLater();
+  void countBytes();
   void close();
   void watchSocket(uint32_t Events);
   void unwatchSocket();
@@ -57,6 +61,8 @@
   std::function<void()> OnLost;
   PGconn *Connection = nullptr;
   bool Connected = false;
+  uint64_t SentBytes = 0; // of the connection, as far as counted
+  uint64_t ReceivedBytes = 0;
   int WatchedFd = -1;
   std::string Statement;
   Callback Then;
--- a/src/group/service.cpp
+++ b/src/group/service.cpp
@@ -221,7 +221,8 @@
           .Port = Port,
           .Database = Database.Value,
           .User = this->Options.TargetUser,
-          .Password = this->Options.TargetPassword};
+          .Password = this->Options.TargetPassword,
+          .Counters = &this->Counters};
 }
 
 Channel &GroupService::Impl::channelTo(const WatchedPtr &W, const TargetId &Server, Lane On) {
--- a/src/group/service_test.cpp
+++ b/src/group/service_test.cpp
@@ -283,6 +283,8 @@
   CHECK(Confirmed == ConfirmResult::Confirmed);
   CHECK((Verified == At));
   CHECK(F.Counters[F.Owner].value("primary_change_finished_total") == 1);
+  CHECK(F.Counters[F.Owner].value("control_sent_bytes_total") > 0);
+  CHECK(F.Counters[F.Owner].value("control_received_bytes_total") > 0);
   CHECK(F.Daemons[1 - F.Owner]->state(F.Database) == nullptr);
 }
 
