Owners are worked out incrementally and views share their groups

Cause: each change of the view copied all groups and computed the owner of every database over all members, and findGroup() searched the list for each request (docs/CAPACITY.md, design section 10). Ruled out: owners computed on demand and cached (each loop would keep a cache of its own, and the group monitor asks for every database at each change); a vector of groups behind a pointer in View (it would change every user). Change: member::GroupList shares its groups between copies and has an index by name; it keeps the interface of a vector that the other slices use. member::OwnerTable keeps the owner of each database: a member that goes moves its own databases only, one that comes is compared with the present owners, a group keeps its owner while the places of its servers stay; only the nearest live members are looked at. member::ViewBuilder keeps both between views and makes a new list of groups only if a target differs. computeOwner() stays as the reference and for views without a table. The group monitor lists the peers of owned databases only, not of all 17,000.

--- a/bench/view_cost_main.cpp
+++ b/bench/view_cost_main.cpp
@@ -24,7 +24,8 @@
 
 Prints one line of key=value pairs for each way and event: the median and the highest processor time
 until the view is built and the owner of each database is known. way=full copies the groups and computes every
-owner anew. Exit codes: 0 the run ended, 2 wrong setting.
+owner anew, way=incremental is what the daemon does. event=start is the first view, event=rules a new
+version of the rules that changes no target, event=none a view without any change. Exit codes: 0 the run ended, 2 wrong setting.
 )";
 
 constexpr Setting Table[] = {
@@ -45,7 +46,13 @@
      .Default = "3",
      .Min = 1,
      .Max = 100000,
-     .Help = "Changes of each kind and way."},
+     .Help = "Changes of each kind with way=full."},
+    {.Name = "incremental-runs",
+     .Kind = SettingKind::Integer,
+     .Default = "100",
+     .Min = 1,
+     .Max = 100000,
+     .Help = "Changes of each kind with way=incremental."},
 };
 
 constexpr int DataCentres = 29;
@@ -119,16 +126,15 @@
                             {"suspect", State::Alive, State::Suspect},
                             {"back", State::Suspect, State::Alive}};
 
-void print(const char *Way, const Event &E, std::vector<absl::Duration> Times, size_t Owned) {
+void print(const char *Way, const char *Name, std::vector<absl::Duration> Times, size_t Owned) {
   std::sort(Times.begin(), Times.end());
-  std::printf("way=%s event=%s runs=%zu median_ms=%.3f highest_ms=%.3f owned=%zu\n", Way, E.Name,
+  std::printf("way=%s event=%s runs=%zu median_ms=%.3f highest_ms=%.3f owned=%zu\n", Way, Name,
               Times.size(), absl::ToDoubleMilliseconds(Times[Times.size() / 2]),
               absl::ToDoubleMilliseconds(Times.back()), Owned);
   std::fflush(stdout);
 }
 
-void run(const SettingValues &V) {
-  std::vector<Group> Groups = makeGroups(V.integer("groups"));
+void runFull(const SettingValues &V, const std::vector<Group> &Groups) {
   auto Rules = std::make_shared<const rules::RuleSet>();
   for (const Event &E : Events) {
     std::vector<Member> Members = makeMembers(V.integer("members"));
@@ -142,10 +148,65 @@
       Times.push_back(cpuTime() - Start);
       Changed.Status = State::Alive;
     }
-    print("full", E, std::move(Times), Owned);
+    print("full", E.Name, std::move(Times), Owned);
   }
 }
 
+// Builds the view and asks for every owner.
+size_t incrementalChange(ViewBuilder &Builder, const std::vector<Member> &Members) {
+  ViewPtr View = Builder.build(Members, true);
+  size_t Owned = 0;
+  for (const Group &G : View->Groups)
+    Owned += View->ownerOf(G.Name) == Members[0].Id ? 1 : 0;
+  return Owned;
+}
+
+void runIncremental(const SettingValues &V, const std::vector<Group> &Groups) {
+  std::vector<Member> Members = makeMembers(V.integer("members"));
+  ViewBuilder Builder(Members[0].Id, Members[0].At);
+  auto Time = [&](std::vector<absl::Duration> &Times, const auto &Do) {
+    absl::Duration Start = cpuTime();
+    Do();
+    size_t Owned = incrementalChange(Builder, Members);
+    Times.push_back(cpuTime() - Start);
+    return Owned;
+  };
+  auto Nothing = [] {};
+  std::vector<absl::Duration> Times;
+  std::vector<Group> Listed = Groups;
+  size_t Owned = Time(Times, [&] { Builder.setGroups(std::move(Listed)); });
+  print("incremental", "start", std::move(Times), Owned);
+  for (const Event &E : Events) {
+    Times.clear();
+    for (int64_t I = 0; I < V.integer("incremental-runs"); ++I) {
+      Member &Changed = Members[static_cast<size_t>(I + 1) % Members.size()];
+      Changed.Status = E.Before;
+      Builder.build(Members, true);
+      Changed.Status = E.After;
+      Owned = Time(Times, Nothing);
+      Changed.Status = State::Alive;
+      Builder.build(Members, true);
+    }
+    print("incremental", E.Name, std::move(Times), Owned);
+  }
+  Times.clear();
+  for (int64_t I = 0; I < V.integer("incremental-runs"); ++I)
+    Owned = Time(Times, [&] {
+      Builder.setRules(std::make_shared<const rules::RuleSet>(), RulesVersion(I + 1));
+    });
+  print("incremental", "rules", std::move(Times), Owned);
+  Times.clear();
+  for (int64_t I = 0; I < V.integer("incremental-runs"); ++I)
+    Owned = Time(Times, Nothing);
+  print("incremental", "none", std::move(Times), Owned);
+}
+
+void run(const SettingValues &V) {
+  std::vector<Group> Groups = makeGroups(V.integer("groups"));
+  runIncremental(V, Groups);
+  runFull(V, Groups);
+}
+
 } // namespace
 
 int main(int Argc, char **Argv) {
--- a/src/daemon/control.cpp
+++ b/src/daemon/control.cpp
@@ -1,6 +1,6 @@
 #include "daemon/control.h"
 
-#include <algorithm>
+#include <utility>
 
 namespace toucan::daemon {
 
@@ -19,40 +19,24 @@
           .Seed = O.Incarnation};
 }
 
-bool sameTarget(const member::Target &A, const member::Target &B) {
-  return A.Id == B.Id && A.Host == B.Host && A.Port == B.Port && A.Status == B.Status &&
-         A.At.Dc == B.At.Dc && A.At.InRegion == B.At.InRegion;
-}
-
-bool sameGroup(const member::Group &A, const member::Group &B) {
-  return A.Name == B.Name && A.SlotsPerTarget == B.SlotsPerTarget &&
-         A.ConnectionsPerTarget == B.ConnectionsPerTarget &&
-         std::equal(A.Targets.begin(), A.Targets.end(), B.Targets.begin(), B.Targets.end(),
-                    sameTarget);
-}
-
 } // namespace
 
 ControlService::ControlService(Loop &L, ControlOptions O, link::LinkService &S, Publish P,
                                Metrics &M)
     : InLoop(L), Options(std::move(O)), Link(S), OnView(std::move(P)), Counters(M),
-      Members(membershipOptions(this->Options)) {}
+      Members(membershipOptions(this->Options)), Views(this->Options.Self, this->Options.At) {}
 
 ControlService::~ControlService() { this->InLoop.cancel(this->Timer); }
 
 void ControlService::start() { this->tick(); }
 
-void ControlService::onDirectory(const platform::Directory &Read) {
+void ControlService::onDirectory(platform::Directory Read) {
   std::vector<member::Listed> List;
   for (const platform::InstanceRow &Row : Read.Instances)
     List.push_back(
         {.Id = Row.Id, .LinkEndpoint = Row.LinkEndpoint, .At = Row.At, .Leaving = Row.Leaving});
   std::vector<member::OutgoingHeartbeat> Out = this->Members.onList(List, this->InLoop.now());
-  bool Same = this->HaveDirectory && std::equal(this->Groups.begin(), this->Groups.end(),
-                                                Read.Groups.begin(), Read.Groups.end(), sameGroup);
-  if (!Same)
-    this->Groups = Read.Groups;
-  this->Dirty |= !Same;
+  this->Dirty |= this->Views.setGroups(std::move(Read.Groups));
   this->HaveDirectory = true;
   // The link must know a new member before it can be sent a probe.
   this->publishIfChanged();
@@ -184,21 +168,8 @@
 }
 
 void ControlService::publish(bool RulesKnown) {
-  auto View = std::make_shared<member::View>();
-  View->Self = this->Options.Self;
-  View->SelfAt = this->Options.At;
-  View->Members = this->Members.members();
-  View->Groups = this->Groups;
-  View->Rules = this->Rules.rules();
-  View->Version = this->Rules.version();
-  View->RulesKnown = RulesKnown;
-  for (member::Group &G : View->Groups) {
-    for (member::Target &T : G.Targets) {
-      rules::TargetState ByRule = View->Rules->targetState(G.Name, T.Id);
-      if (T.Status == rules::TargetState::Active)
-        T.Status = ByRule;
-    }
-  }
+  this->Views.setRules(this->Rules.rules(), this->Rules.version());
+  member::ViewPtr View = this->Views.build(this->Members.members(), RulesKnown);
   std::map<InstanceId, link::PeerAddress> Peers;
   for (const member::Member &M : View->Members)
     if (M.Id != this->Options.Self && !M.LinkEndpoint.empty())
--- a/src/daemon/control.h
+++ b/src/daemon/control.h
@@ -30,7 +30,7 @@
 
   void start();
   // What the platform thread has read.
-  void onDirectory(const platform::Directory &Read);
+  void onDirectory(platform::Directory Read);
   void onRulesRow(const platform::Row &Read);
   // heartbeat, rules_fetch and rules_text.
   void onMessage(const InstanceId &From, const proto::Envelope &Message);
@@ -57,7 +57,7 @@
   Metrics &Counters;
   member::Membership Members;
   member::RulesState Rules;
-  std::vector<member::Group> Groups;
+  member::ViewBuilder Views;
   bool HaveDirectory = false;
   bool Dirty = true;
   bool LastRulesKnown = false;
--- a/src/group/service.cpp
+++ b/src/group/service.cpp
@@ -73,6 +73,9 @@
     auto It = this->Groups.find(Database);
     return It == this->Groups.end() ? nullptr : It->second.get();
   }
+  bool owns(const DatabaseName &Database) const {
+    return this->View->ownerOf(Database) == this->Options.Self;
+  }
   MonitorConfig configOf(const member::Group &G) const;
   void update(const DatabaseName &Database);
   void end(const DatabaseName &Database);
@@ -119,7 +122,7 @@
                          .Host = T.Host,
                          .Port = T.Port,
                          .Leaving = T.Status == rules::TargetState::Leaving});
-  C.Owner = this->View->ownerOf(G.Name) == this->Options.Self;
+  C.Owner = this->owns(G.Name);
   for (const member::Member &M : this->View->Members)
     if (M.Id != this->Options.Self && M.Status == member::State::Alive)
       C.Peers.push_back(M.Id);
@@ -133,11 +136,11 @@
     this->end(Database);
     return;
   }
-  MonitorConfig Config = this->configOf(*G);
-  if (!Config.Owner && !this->Kept.contains(Database)) {
+  if (!this->owns(Database) && !this->Kept.contains(Database)) {
     this->end(Database);
     return;
   }
+  MonitorConfig Config = this->configOf(*G);
   if (!this->find(Database)) {
     uint64_t Seed = this->Options.Seed + std::hash<std::string>{}(Database.Value);
     this->Groups[Database] = std::make_shared<Watched>(MonitorOptions{
@@ -359,7 +362,7 @@
   for (const auto &[Database, W] : this->State->Groups)
     Names.push_back(Database);
   for (const member::Group &G : this->State->View->Groups)
-    if (!this->State->Groups.contains(G.Name))
+    if (this->State->owns(G.Name) && !this->State->Groups.contains(G.Name))
       Names.push_back(G.Name);
   for (const DatabaseName &Database : Names)
     this->State->update(Database);
--- a/src/member/member.h
+++ b/src/member/member.h
@@ -6,5 +6,6 @@
 #include "member/rules_state.h"
 #include "member/send.h"
 #include "member/view.h"
+#include "member/view_builder.h"
 
 #endif // TOUCAN_MEMBER_MEMBER_H
--- /dev/null
+++ b/src/member/owners.h
@@ -0,0 +1,100 @@
+// Owner of each database: rendezvous hashing over the live members, worked out incrementally.
+#ifndef TOUCAN_MEMBER_OWNERS_H
+#define TOUCAN_MEMBER_OWNERS_H
+
+#include "base/ids.h"
+#include "member/groups.h"
+
+#include "absl/container/flat_hash_map.h"
+#include "absl/container/inlined_vector.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace toucan::member {
+
+struct Member;
+
+// The highest rendezvous weight among the members that are alive, members in a data centre of the
+// group's targets first, then in their regions. Takes time in the number of members.
+std::optional<InstanceId> computeOwner(const Group &G, const std::vector<Member> &Members);
+
+// Owners of the groups of one list, by index. Immutable.
+struct Owners {
+  static constexpr uint32_t NoSlot = UINT32_MAX;
+  std::shared_ptr<const std::vector<InstanceId>> Ids; // by slot
+  std::vector<uint32_t> Slots;                        // by group; NoSlot: no member is alive
+
+  std::optional<InstanceId> of(size_t GroupIndex) const {
+    uint32_t Slot = this->Slots[GroupIndex];
+    return Slot == NoSlot ? std::nullopt : std::optional((*this->Ids)[Slot]);
+  }
+};
+
+// Same owners as computeOwner(). A member that goes moves only the databases that it owned; one
+// that comes is compared with the present owner of each database. Pure.
+class OwnerTable {
+public:
+  void update(const GroupList &Groups, const std::vector<Member> &Members);
+  // Of the groups and members of the last update.
+  const std::shared_ptr<const Owners> &owners() const { return this->Published; }
+
+private:
+  static constexpr uint32_t NoSlot = Owners::NoSlot;
+  // A data centre or region as a small number.
+  using PlaceNumber = uint32_t;
+  using PlaceNumbers = absl::InlinedVector<PlaceNumber, 4>;
+
+  // A member that is or was alive; its slot is used again once it is gone.
+  struct Node {
+    InstanceId Id;
+    Place At;
+    PlaceNumber Dc = 0;
+    PlaceNumber InRegion = 0;
+    bool Live = false;
+    uint64_t SeenAt = 0; // number of the last update that had it
+  };
+  struct Entry {
+    uint64_t KeyHash = 0; // of the database name
+    PlaceNumbers Dcs;     // of the targets, each once
+    PlaceNumbers Regions;
+    uint32_t Owner = NoSlot;
+    int Nearness = 0; // of the owner
+    uint64_t Weight = 0;
+  };
+
+  PlaceNumber numberOf(absl::flat_hash_map<std::string, PlaceNumber> &Numbers,
+                       std::vector<std::vector<uint32_t>> &Members, const std::string &Name);
+  std::vector<uint32_t> updateMembers(const std::vector<Member> &Members);
+  uint32_t add(const Member &M);
+  void remove(uint32_t Slot);
+  void updateGroups(const GroupList &Groups);
+  Entry makeEntry(const Group &G);
+  static int nearness(const Node &N, const Entry &E);
+  void consider(Entry &E, uint32_t Slot, int Near) const;
+  void choose(Entry &E) const;
+  void publish();
+
+  GroupList Groups;
+  std::vector<Entry> Entries; // by group
+  std::vector<Node> Nodes;    // by slot
+  std::vector<uint32_t> FreeSlots;
+  std::vector<uint32_t> Gone; // slots whose members the running update has removed
+  absl::flat_hash_map<InstanceId, uint32_t> SlotOf; // of live members
+  absl::flat_hash_map<std::string, PlaceNumber> DcNumbers;
+  absl::flat_hash_map<std::string, PlaceNumber> RegionNumbers;
+  std::vector<std::vector<uint32_t>> LiveByDc;
+  std::vector<std::vector<uint32_t>> LiveByRegion;
+  uint64_t UpdateNumber = 0;
+  bool IdsChanged = true;
+  std::shared_ptr<const std::vector<InstanceId>> Ids;
+  std::shared_ptr<const Owners> Published;
+};
+
+} // namespace toucan::member
+
+#endif // TOUCAN_MEMBER_OWNERS_H
--- a/src/member/view.h
+++ b/src/member/view.h
@@ -3,6 +3,8 @@
 #define TOUCAN_MEMBER_VIEW_H
 
 #include "base/ids.h"
+#include "member/groups.h"
+#include "member/owners.h"
 #include "rules/rules.h"
 
 #include <cstdint>
@@ -16,11 +18,6 @@
 // Joining: has not read the platform's lists and the rules yet, so it can own nothing.
 enum class State : uint8_t { Alive = 1, Suspect = 2, Dead = 3, Draining = 4, Joining = 5 };
 
-struct Place {
-  DataCentre Dc;
-  Region InRegion;
-};
-
 struct Member {
   InstanceId Id;
   std::string LinkEndpoint; // host:port of its ZeroMQ socket
@@ -30,27 +27,13 @@
   RulesVersion Rules;
 };
 
-struct Target {
-  TargetId Id;
-  std::string Host; // IP number
-  uint16_t Port = 0;
-  Place At;
-  rules::TargetState Status = rules::TargetState::Active; // of the rules and the platform's list
-};
-
-struct Group {
-  DatabaseName Name;
-  std::vector<Target> Targets;
-  uint32_t SlotsPerTarget = 0;
-  uint32_t ConnectionsPerTarget = 0;
-};
-
 // Immutable once published; shared between the loops.
 struct View {
   InstanceId Self;
   Place SelfAt;
   std::vector<Member> Members; // with Self
-  std::vector<Group> Groups;
+  GroupList Groups;
+  std::shared_ptr<const Owners> OwnerTable;    // of Groups and Members; null: computed on demand
   std::shared_ptr<const rules::RuleSet> Rules; // never null; empty before the first version
   RulesVersion Version;
   bool RulesKnown = false; // false: new work is refused with Reason::RulesUnknown
@@ -59,6 +42,7 @@
   const Member *findMember(const InstanceId &Id) const;
   // The instance that owns a database: the highest rendezvous weight among live members that are
   // not draining, members in a data centre of the group's targets first, then in their regions.
+  // Takes time in the number of members unless the view has an owner table.
   std::optional<InstanceId> ownerOf(const DatabaseName &Name) const;
 };
 
--- /dev/null
+++ b/src/member/view_builder.cpp
@@ -0,0 +1,55 @@
+#include "member/view_builder.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace toucan::member {
+
+ViewBuilder::ViewBuilder(InstanceId Self, Place SelfAt)
+    : Self(std::move(Self)), SelfAt(std::move(SelfAt)) {}
+
+bool ViewBuilder::setGroups(std::vector<Group> NewList) {
+  if (this->HaveList && this->Listed == NewList)
+    return false;
+  this->Listed = std::move(NewList);
+  this->HaveList = true;
+  this->Stale = true;
+  return true;
+}
+
+void ViewBuilder::setRules(std::shared_ptr<const rules::RuleSet> NewRules,
+                           RulesVersion NewVersion) {
+  this->Stale |= NewRules != this->Rules;
+  this->Rules = std::move(NewRules);
+  this->Version = NewVersion;
+}
+
+// Makes a new list only if a group differs: most changes of the rules name no target.
+void ViewBuilder::applyRules() {
+  if (!std::exchange(this->Stale, false))
+    return;
+  std::vector<Group> New = this->Listed;
+  for (Group &G : New)
+    for (Target &T : G.Targets)
+      if (T.Status == rules::TargetState::Active)
+        T.Status = this->Rules->targetState(G.Name, T.Id);
+  if (New != this->Groups.items())
+    this->Groups = GroupList(std::move(New));
+}
+
+ViewPtr ViewBuilder::build(std::vector<Member> Members, bool RulesKnown) {
+  this->applyRules();
+  this->Table.update(this->Groups, Members);
+  auto Out = std::make_shared<View>();
+  Out->Self = this->Self;
+  Out->SelfAt = this->SelfAt;
+  Out->Members = std::move(Members);
+  Out->Groups = this->Groups;
+  Out->OwnerTable = this->Table.owners();
+  Out->Rules = this->Rules;
+  Out->Version = this->Version;
+  Out->RulesKnown = RulesKnown;
+  return Out;
+}
+
+} // namespace toucan::member
