Group monitor: replicas of a settled group are probed each 600 ms

Cause: 20 servers cost 26 KB/s of probes against a budget of 19 KB/s for all control (docs/CAPACITY.md). Ruled out: one probe of a replica in 1 s, as planned: without alignment the age of a replica reaches 1.3 s (computed), so a read with max_age=1s would lose it for part of the time. One in 900 ms (oldest 939 ms with 20 ms one way) fails "the age of a replica grows while it lags or no majority is in the term", which allows 700 ms and stays as it is. Change: a replica is probed 50 ms after each second probe of its primary while the group is settled: a primary is known, every server answers and follows it, no change runs or settles, the primary does not leave. The first failure of any server brings all back to 300 ms, so that reachableMajority() knows by the third miss of the primary who else is gone. A replica whose last answer lacked entries of the log is probed each 300 ms until it has them. Worse: a replica that freezes is seen up to 300 ms later, since its first failing probe may begin later. After a refusal of the primary, the last answer of a replica that counts for the majority may be 300 ms older. Tests, each seen to fail: "replicas of a settled group are probed each 600 ms, the primary each 300 ms" and "a replica that lags is probed each 300 ms until it has caught up" before the change; "a replica that returns is reachable and follows within half a second", "replicas of a settled group stay younger than one second" and "a replica that applies a confirmed write late is known to have it within 350 ms" with planted faults, "an owner that loses the primary and a replica at once fences nothing" with probes each 1.5 s that no failure shortens. Not seen to fail: "a frozen primary is replaced within 1300 ms in each phase of the probes" and "the position of a replica is known soon after a write".

--- a/src/group/monitor.cpp
+++ b/src/group/monitor.cpp
@@ -12,6 +12,14 @@
 constexpr absl::Duration WaitGrace = absl::Milliseconds(500); // for its answer on the way back
 constexpr absl::Duration RetryDelay = absl::Milliseconds(50); // after a failed call
 
+// Probes of the replicas of a settled group: one for this many of the primary. A read that allows
+// an age of 1 s must keep its replicas: their age reaches 0.64 s with 2, 0.94 s with 3, with a
+// latency of 20 ms one way.
+constexpr int ReplicaProbeEvery = 2;
+// Time from a probe of the primary to those of its replicas, which then have what the primary had:
+// replication between regions takes 20 ms.
+constexpr absl::Duration ReplicaProbeDelay = absl::Milliseconds(50);
+
 bool sameServers(const std::vector<MonitoredServer> &A, const std::vector<MonitoredServer> &B) {
   return std::equal(A.begin(), A.end(), B.begin(), B.end(), [](const auto &X, const auto &Y) {
     return X.Id == Y.Id && X.Host == Y.Host && X.Port == Y.Port;
@@ -205,8 +213,14 @@
   this->Writes.onRow(Index, Row);
   if (On == Lane::Probe) {
     this->Reads.onRow(Index, Asked.Probe, Row);
-    S.lane(On).NextAt = Asked.AskedAt + this->Options.ProbeInterval;
+    S.lane(On).NextAt = Asked.AskedAt + this->Options.ProbeInterval * (ReplicaProbeEvery + 1);
+    std::optional<size_t> P = this->primary();
+    uint64_t Known = P ? this->Servers[*P].Row->Received : 0;
+    S.Behind = Row.Applied < std::max(Row.Received, Known);
   }
+  // What it has received it is about to apply: a session that wrote it may read it there.
+  if (On == Lane::Wait && Row.Applied < Row.Received)
+    S.Behind = true;
   // A server that answers before the position is reached must not be asked in a tight loop.
   if (On == Lane::Wait && !Row.CallAccepted)
     S.lane(On).NextAt = Now + RetryDelay;
@@ -242,7 +256,44 @@
     this->Change->Try.abandon();
 }
 
+// The primary while nothing suggests a change: every server answers and follows it.
+std::optional<size_t> Monitor::settledPrimary() const {
+  std::optional<size_t> P = this->primary();
+  if (!P || this->Change || this->Finishing || this->Question ||
+      !this->LeavingPrimary.Value.empty())
+    return std::nullopt;
+  for (size_t I = 0; I < this->Servers.size(); ++I) {
+    const Server &S = this->Servers[I];
+    if (!S.Row || S.Misses != 0 || S.Refused || (I != *P && !this->follows(S, *P)))
+      return std::nullopt;
+  }
+  return P;
+}
+
+// Sets when the servers that answer are probed next. A first failure of any server ends the longer
+// interval of the others, so that the majority is known by the time that the primary is suspect.
+void Monitor::planProbes() {
+  std::optional<size_t> P = this->settledPrimary();
+  for (size_t I = 0; I < this->Servers.size(); ++I) {
+    Server &S = this->Servers[I];
+    Outstanding &L = S.lane(Lane::Probe);
+    if (L.Id != 0 || S.Misses != 0)
+      continue;
+    Instant Next = L.AskedAt + this->Options.ProbeInterval;
+    if (P && I != *P && !S.Behind) {
+      // The last probe of the primary before this one is due.
+      Instant Sample = this->Servers[*P].RowAt;
+      Instant Due = L.AskedAt + this->Options.ProbeInterval * ReplicaProbeEvery;
+      if (Sample + this->Options.ProbeInterval <= Due)
+        continue;
+      Next = Sample + ReplicaProbeDelay;
+    }
+    L.NextAt = std::min(L.NextAt, Next);
+  }
+}
+
 void Monitor::startProbes(Instant Now) {
+  this->planProbes();
   for (size_t I = 0; I < this->Servers.size(); ++I) {
     const Outstanding &L = this->Servers[I].lane(Lane::Probe);
     bool Healthy = this->Servers[I].Misses == 0;
--- a/src/group/monitor.h
+++ b/src/group/monitor.h
@@ -35,6 +35,8 @@
 
 struct MonitorOptions {
   std::string Proposer; // unique for each incarnation of a daemon
+  // Of a primary, and of every server while the group is not settled. Replicas of a settled group
+  // are probed after each second probe of their primary.
   absl::Duration ProbeInterval = absl::Milliseconds(300);
   absl::Duration ProbeTimeout = absl::Milliseconds(300);
   int ProbesToSuspect = 3;
@@ -127,6 +129,7 @@
     Instant CurrentAt = absl::InfinitePast();
     int Misses = 0;
     bool Refused = false;
+    bool Behind = false; // its last answer lacked entries of the log
     Outstanding Lanes[LaneCount];
     Outstanding &lane(Lane L) { return this->Lanes[static_cast<size_t>(L)]; }
     const Outstanding &lane(Lane L) const { return this->Lanes[static_cast<size_t>(L)]; }
@@ -170,6 +173,8 @@
   void call(size_t Index, Lane On, Call What, Instant Now);
   void onRow(size_t Index, Lane On, const Outstanding &Asked, const Status &Row, Instant Now);
   void onFailure(size_t Index, Lane On, const Outstanding &Asked, CallFailure Failure, Instant Now);
+  std::optional<size_t> settledPrimary() const;
+  void planProbes();
   void startProbes(Instant Now);
   void startWaits(Instant Now);
   void endTickets(Instant Now);
--- a/src/group/monitor_test.cpp
+++ b/src/group/monitor_test.cpp
@@ -19,6 +19,12 @@
                        [S](const StepAction &A) { return A.What == S; });
 }
 
+size_t probesOf(const Simulation::Daemon &D, size_t I) {
+  return std::count_if(D.Calls.begin(), D.Calls.end(), [I](const CallAction &C) {
+    return C.Server == idOf(I) && C.On == Lane::Probe;
+  });
+}
+
 const ServerState &serverOf(const Simulation::Daemon &D, size_t I) {
   return D.Machine.state().Servers[I];
 }
@@ -363,3 +369,169 @@
   S.run(absl::Seconds(1));
   CHECK(D.Confirmed[1] == ConfirmResult::Confirmed);
 }
+
+// Guards against probes that cost more than the budget of 19 KB/s for 20 servers.
+TEST_CASE("replicas of a settled group are probed each 600 ms, the primary each 300 ms") {
+  Simulation S(3);
+  Simulation::Daemon &D = S.add(S.config(true));
+  S.run(absl::Seconds(2));
+  D.Calls.clear();
+  S.run(absl::Seconds(9));
+  CHECK(probesOf(D, 0) >= 28);
+  for (size_t I : {1, 2}) {
+    CHECK(probesOf(D, I) >= 14);
+    CHECK(probesOf(D, I) <= 16);
+  }
+}
+
+// Guards against replicas that a read with max_age=1s may not use: idle, under writes, and with a
+// replication that lags.
+TEST_CASE("replicas of a settled group stay younger than one second") {
+  for (absl::Duration OneWay : {absl::Milliseconds(1), absl::Milliseconds(20)}) {
+    for (int WriteEvery : {0, 5, 100, 450}) {
+      CAPTURE(WriteEvery);
+      Simulation S(3);
+      S.Delay = [&] { return OneWay; };
+      Simulation::Daemon &D = S.add(S.config(true));
+      S.run(absl::Seconds(3));
+      absl::Duration Oldest;
+      for (int Ms = 1; Ms <= 10'000; ++Ms) {
+        // Replica 1 gets each write 40 ms late.
+        S.Held = Ms % 40 == 0 ? std::set<size_t>{} : std::set<size_t>{1};
+        if (WriteEvery != 0 && Ms % WriteEvery == 0)
+          S.perform(D, D.Machine.confirm(Ms, S.write(0, Ms), S.Now + absl::Seconds(5), S.Now));
+        S.run(absl::Milliseconds(1));
+        for (size_t I : {1, 2})
+          Oldest = std::max(Oldest, S.Now - serverOf(D, I).CurrentAt);
+      }
+      MESSAGE("one way " << absl::ToInt64Milliseconds(OneWay) << " ms, a write each " << WriteEvery
+                         << " ms: oldest " << absl::ToInt64Milliseconds(Oldest) << " ms");
+      CHECK(Oldest < absl::Milliseconds(800)); // leaves 200 ms for late answers
+    }
+  }
+}
+
+// Guards against reads of a session that go to the primary because the position of a replica that
+// has its write is not known yet.
+TEST_CASE("the position of a replica is known soon after a write") {
+  for (int WriteEvery : {50, 2000}) {
+    Simulation S(3);
+    Simulation::Daemon &D = S.add(S.config(true));
+    S.run(absl::Seconds(3));
+    int Covered = 0;
+    int Total = 0;
+    LogPosition Last;
+    for (int Ms = 1; Ms <= 20'000; ++Ms) {
+      if (Ms % WriteEvery == 0) {
+        Last = S.write(0, Ms);
+        S.perform(D, D.Machine.confirm(Ms, Last, S.Now + absl::Seconds(5), S.Now));
+      }
+      S.run(absl::Milliseconds(1));
+      for (size_t I : {1, 2}) {
+        ++Total;
+        Covered += serverOf(D, I).Applied >= Last.Position ? 1 : 0;
+      }
+    }
+    MESSAGE("a write each " << WriteEvery << " ms: known for " << 100.0 * Covered / Total
+                            << " % of the time");
+    CHECK(Covered > Total * 85 / 100);
+  }
+}
+
+// Guards against a replica that lags by more than the pause between its probes and its age: it is
+// probed as often as the primary until it has caught up.
+TEST_CASE("a replica that lags is probed each 300 ms until it has caught up") {
+  Simulation S(3);
+  Simulation::Daemon &D = S.add(S.config(true));
+  S.run(absl::Seconds(2));
+  S.Held = {1};
+  S.write(0, 1);
+  S.run(absl::Seconds(2));
+  D.Calls.clear();
+  S.run(absl::Seconds(3));
+  CHECK(probesOf(D, 1) >= 9);
+  CHECK(probesOf(D, 2) <= 6);
+  S.Held.clear();
+  S.run(absl::Milliseconds(350));
+  CHECK(S.Now - serverOf(D, 1).CurrentAt < absl::Milliseconds(700));
+  D.Calls.clear();
+  S.run(absl::Seconds(3));
+  CHECK(probesOf(D, 1) <= 6);
+}
+
+// Guards against a change that an owner starts after it was cut off from a majority: the last
+// answers of replicas that are probed less often must not count as reachable.
+TEST_CASE("an owner that loses the primary and a replica at once fences nothing") {
+  for (int Phase = 0; Phase < 1000; Phase += 50) {
+    CAPTURE(Phase);
+    Simulation S(3);
+    Simulation::Daemon &D = S.add(S.config(true));
+    S.run(absl::Seconds(2) + absl::Milliseconds(Phase));
+    D.Cut = {0, 1};
+    S.run(absl::Seconds(4));
+    CHECK(count(D, Step::Started) == 1); // of the first term
+    CHECK(S.Servers[2].Accepted == 1);
+  }
+}
+
+// Guards against a failed replica that gets reads for longer, and against one that stays without
+// reads or without a primary to follow after it has returned.
+TEST_CASE("a replica that returns is reachable and follows within half a second") {
+  for (int Phase = 0; Phase < 1000; Phase += 100) {
+    CAPTURE(Phase);
+    Simulation S(3);
+    Simulation::Daemon &D = S.add(S.config(true));
+    S.run(absl::Seconds(2) + absl::Milliseconds(Phase));
+    S.Refusing.insert(1);
+    S.run(absl::Seconds(1));
+    CHECK_FALSE(serverOf(D, 1).Reachable);
+    D.Calls.clear();
+    S.run(absl::Seconds(3));
+    CHECK(probesOf(D, 1) >= 9);
+    S.Refusing.clear();
+    S.Servers[1].follow(1, "10.0.0.2:5432"); // it follows another server after its start
+    S.run(absl::Milliseconds(500));
+    CHECK(serverOf(D, 1).Reachable);
+    CHECK(S.Servers[1].Following == "10.0.0.0:5432");
+    CHECK(S.Now - serverOf(D, 1).CurrentAt < absl::Milliseconds(700));
+  }
+}
+
+// Guards against a slower detection because the replicas are probed less often: the majority is
+// known by the time that the primary is suspect, whatever the phase of the probes.
+TEST_CASE("a frozen primary is replaced within 1300 ms in each phase of the probes") {
+  absl::Duration Longest;
+  for (int Phase = 0; Phase < 1000; Phase += 10) {
+    CAPTURE(Phase);
+    Simulation S(3);
+    Simulation::Daemon &D = S.add(S.config(true));
+    S.run(absl::Seconds(2) + absl::Milliseconds(Phase));
+    S.Frozen.insert(0);
+    Instant Since = S.Now;
+    while (S.Now - Since < absl::Seconds(3) && primaryOf(D) != 1)
+      S.run(absl::Milliseconds(1));
+    Longest = std::max(Longest, S.Now - Since);
+  }
+  MESSAGE("longest " << absl::ToInt64Milliseconds(Longest) << " ms");
+  CHECK(Longest <= absl::Milliseconds(1300));
+}
+
+// Guards against reads of the writer's session that stay at the primary: a replica that had
+// received but not applied a write when it confirmed it is asked again after the short interval.
+TEST_CASE("a replica that applies a confirmed write late is known to have it within 350 ms") {
+  for (int Phase = 0; Phase < 600; Phase += 50) {
+    CAPTURE(Phase);
+    Simulation S(3);
+    Simulation::Daemon &D = S.add(S.config(true));
+    S.run(absl::Seconds(2) + absl::Milliseconds(Phase));
+    S.Held = {1};
+    LogPosition At = S.write(0, 1);
+    S.perform(D, D.Machine.confirm(1, At, S.Now + absl::Seconds(5), S.Now));
+    S.run(absl::Milliseconds(5));
+    REQUIRE(S.Servers[1].receive(S.Servers[0].Log));
+    S.run(absl::Milliseconds(40));
+    S.Servers[1].Applied = S.Servers[1].Matched;
+    S.run(absl::Milliseconds(350));
+    CHECK(serverOf(D, 1).Applied == At.Position);
+  }
+}
