--- a/src/session/local.h
+++ b/src/session/local.h
@@ -36,8 +36,8 @@
 // Execute (or Query, with WithRowDescription).
 std::string runLocal(const sql::Statement &S, SessionState &State, bool WithRowDescription);
 
-// Ends the settings of a transaction; returns the ParameterStatus frames of those that a rollback has
-// changed back.
+// Ends the settings of a transaction; returns the ParameterStatus frames of those that a rollback
+// has changed back.
 std::string endTransactionSettings(SessionState &State, bool RolledBack);
 
 // Reply to Describe of a statement with Place::Local.
