--- a/standin/db/server_test.cpp
+++ b/standin/db/server_test.cpp
@@ -135,6 +135,7 @@
   std::atomic<bool> Stopping = false;
   std::vector<std::set<std::string>> States(Readers);
   std::vector<std::thread> Threads;
+  Threads.reserve(Readers);
   for (int I = 0; I < Readers; ++I)
     Threads.emplace_back([&, I] {
       Client C = F.client();
