Scripts: starting the proxies and clearing the processes stand in one place

Cause: read-through after a list of duplicates: scripts/cluster.sh and scripts/measure.sh both started four proxies and waited for them, and three functions of measure.sh ended all processes and removed their data. Change: start_proxies and clear_all. No functional change.

--- a/scripts/cluster.sh
+++ b/scripts/cluster.sh
@@ -85,12 +85,18 @@
 
 # Starts everything and waits until every proxy is ready.
 start_all() {
-  local database number i
+  local database number
   start_platform
   for database in "${databases[@]}"; do
     for number in 1 2 3; do start_server "$database" "$number"; done
   done
   publish_groups
+  start_proxies
+}
+
+# Starts four proxies and waits until each is ready and sees the others.
+start_proxies() {
+  local i
   for i in 0 1 2 3; do start_proxy "$i"; done
   publish_instances
   for i in 0 1 2 3; do
--- a/scripts/measure.sh
+++ b/scripts/measure.sh
@@ -146,12 +146,7 @@
     server_port[$id]=$(field port)
   done
   publish_groups
-  for number in 0 1 2 3; do start_proxy "$number"; done
-  publish_instances
-  for number in 0 1 2 3; do
-    wait_for "proxy-$number ready" curl -sf -o /dev/null "http://127.0.0.1:${proxy_http[$number]}/health"
-  done
-  wait_for "members" members_alive 4
+  start_proxies
 }
 
 # Writes rows with ids above FIRST until the file "writing" is gone; notes the acknowledged ones.
@@ -225,9 +220,7 @@
 measure_split() {
   local run at
   for at in owner split; do
-    stop_all
-    all_pids=() proxy_pid=() proxy_port=() proxy_link=() proxy_http=()
-    rm -rf "$work"/data-*
+    clear_all
     if [ "$at" = owner ]; then start_all; else start_split; fi
     if [ "$at" = owner ]; then prepare; else create_tables; fi
     for run in $(seq "$runs"); do
@@ -283,9 +276,7 @@
 measure_learned() {
   local run at long
   for at in on off; do
-    stop_all
-    all_pids=() proxy_pid=() proxy_port=() proxy_link=() proxy_http=()
-    rm -rf "$work"/data-*
+    clear_all
     export TOUCANRUN_LEARN=$at
     start_all
     create_tables
@@ -303,11 +294,15 @@
   done
 }
 
-# Ends all processes and starts new ones without data.
-restart_all() {
+# Ends all processes and removes their data.
+clear_all() {
   stop_all
   all_pids=() proxy_pid=() proxy_port=() proxy_link=() proxy_http=()
   rm -rf "$work"/data-*
+}
+
+restart_all() {
+  clear_all
   start_all
 }
 
