Connections at a primary are lent by lot; transactions yield to single statements; true refusals

On the hot primary nearly all refusals were of statements that need the primary (target=none, started_late): remote transactions hold the only connection ten times longer than single statements.

--- a/src/gateway/link.h
+++ b/src/gateway/link.h
@@ -85,6 +85,7 @@
   std::function<void()> OnPinnedLost;
   Instant IdleSince;
   Instant TakenAt = absl::InfiniteFuture(); // by the statement or transaction that holds it
+  bool TakenByTransaction = false;
 
 private:
   struct Expected {
--- a/src/gateway/pool.cpp
+++ b/src/gateway/pool.cpp
@@ -27,17 +27,26 @@
 } // namespace
 
 TargetPool::TargetPool(Loop &InLoop, Codec &Protocol, Metrics &Counters, PoolOwner &Owner,
-                       catalog::TargetEntry Entry)
+                       catalog::TargetEntry Entry, uint64_t Seed)
     : InLoop(InLoop), Protocol(Protocol), Counters(Counters), Owner(Owner), Entry(std::move(Entry)),
-      Limit(InLoop.now() + placement::BorrowDelay), Leads(this->Entry.Primary),
-      Backoff(BackoffMin) {}
+      Limit(InLoop.now() + placement::BorrowDelay, Seed), Backoff(BackoffMin) {
+  this->setLeads(this->Entry.Primary);
+}
 
 void TargetPool::update(const catalog::TargetEntry &New) {
   if (New.Primary != this->Entry.Primary || New.StartedUnixMs != this->Entry.StartedUnixMs)
-    this->Leads = New.Primary;
+    this->setLeads(New.Primary);
   this->Entry = New;
 }
 
+void TargetPool::setLeads(bool Is) {
+  if (Is && !this->Leads)
+    this->Limit.onPromoted(this->InLoop.now());
+  else if (!Is)
+    this->Limit.onDemoted();
+  this->Leads = Is;
+}
+
 void TargetPool::setLimit(uint32_t Connections, size_t Instances) {
   this->Limit.set(Connections, Instances);
 }
@@ -52,6 +61,11 @@
                                              [](const auto &L) { return L->idle(); }));
 }
 
+uint32_t TargetPool::pinnedLinks() const {
+  return static_cast<uint32_t>(
+      std::count_if(this->Links.begin(), this->Links.end(), [](const auto &L) { return L->Pinned; }));
+}
+
 uint32_t TargetPool::running() const {
   return static_cast<uint32_t>(std::count_if(this->Links.begin(), this->Links.end(),
                                              [](const auto &L) { return L->pending() > 0; }));
@@ -59,7 +73,16 @@
 
 bool TargetPool::mayOpen() const {
   return !this->Retiring && this->InLoop.now() >= this->RetryAt &&
-         this->openLinks() < this->Limit.borrowed(this->InLoop.now());
+         this->openLinks() < this->Limit.borrowed(this->InLoop.now(), this->resting());
+}
+
+// Links in transactions whose callers have sent nothing for a while.
+uint32_t TargetPool::resting() const {
+  Instant Since = this->InLoop.now() - placement::RestingAfter;
+  return static_cast<uint32_t>(
+      std::count_if(this->Links.begin(), this->Links.end(), [Since](const auto &L) {
+        return L->Pinned && L->pending() == 0 && L->IdleSince <= Since;
+      }));
 }
 
 // Prefers a link that carries the same session values, then one whose values need only additions,
@@ -195,7 +218,7 @@
 // only a dead one does not.
 void TargetPool::probe() {
   Instant Now = this->InLoop.now();
-  if (this->Signs.LastAnswer >= this->Signs.SilentSince ||
+  if (this->Retiring || this->Signs.LastAnswer >= this->Signs.SilentSince ||
       Now - this->Signs.SilentSince < ProbeAfter || Now - this->ProbedAt < ProbeInterval)
     return;
   this->ProbedAt = Now;
@@ -270,11 +293,16 @@
   }
   Instant Taken = std::exchange(Link.TakenAt, absl::InfiniteFuture());
   if (Taken != absl::InfiniteFuture())
-    this->Record.onHeld(this->InLoop.now() - Taken);
+    this->Record.onHeld(this->InLoop.now() - Taken, Link.TakenByTransaction);
   if (this->Retiring) {
     Link.close("target leaves");
     return;
   }
+  if (&Link != this->Control.get() &&
+      this->openLinks() > this->Limit.borrowed(this->InLoop.now(), this->resting())) {
+    Link.close("over the share");
+    return;
+  }
   if (&Link != this->Control.get())
     this->Owner.onPoolReady(*this);
 }
@@ -287,11 +315,13 @@
 void TargetPool::onLinkClosed(TargetLink &Link, const std::optional<StatementError> &Refusal) {
   Instant Now = this->InLoop.now();
   bool Refused = Refusal.has_value();
+  bool IsControl = &Link == this->Control.get();
   LogEvent(LogLevel::Info, "target_connection_closed")
       .kv("target", this->Entry.Id.Value)
+      .kv("control", IsControl)
       .kv("cause", Link.closeCause())
       .kv("refusal", Refused ? errorName(Refusal->Code) : std::string_view("none"))
-      .kv("open", this->openLinks() - 1);
+      .kv("open", this->openLinks() - (IsControl ? 0 : 1));
   this->Counters.add("target_connections_closed");
   if (Refused) {
     this->Signs.LastAnswer = Now;
@@ -306,7 +336,7 @@
     this->RetryAt = Now + this->Backoff;
     this->Backoff = std::min(this->Backoff * 2, BackoffMax);
   }
-  if (&Link == this->Control.get()) {
+  if (IsControl) {
     this->destroyLater(std::move(this->Control));
   } else {
     auto It = std::find_if(this->Links.begin(), this->Links.end(),
--- a/src/gateway/pool.h
+++ b/src/gateway/pool.h
@@ -24,8 +24,9 @@
 
 class TargetPool : public LinkOwner {
 public:
+  // Seed: of the lots for borrowed connections.
   TargetPool(Loop &InLoop, Codec &Protocol, Metrics &Counters, PoolOwner &Owner,
-             catalog::TargetEntry Entry);
+             catalog::TargetEntry Entry, uint64_t Seed);
 
   void update(const catalog::TargetEntry &New);
   const catalog::TargetEntry &entry() const { return this->Entry; }
@@ -42,6 +43,7 @@
   uint32_t idleLinks() const;
   uint32_t openLinks() const { return static_cast<uint32_t>(this->Links.size()); }
   uint32_t running() const;
+  uint32_t pinnedLinks() const;
   // In regular use: the primary and the nearest targets. Links to the others are opened when a
   // statement waits and closed when they rest: many instances share few connections, and those of
   // a machine that lost power stay counted for seconds.
@@ -59,7 +61,7 @@
 
   bool leads() const { return this->Leads; }
   // The target proved or denied by an answer that it leads.
-  void setLeads(bool Is) { this->Leads = Is; }
+  void setLeads(bool Is);
   placement::TargetRecord &record() { return this->Record; }
   const placement::TargetRecord &record() const { return this->Record; }
   // Positions of the service's primary, from which the lag of a replica follows.
@@ -85,6 +87,7 @@
 private:
   std::unique_ptr<TargetLink> makeLink(absl::Duration OpenTimeout);
   void openLink();
+  uint32_t resting() const;
   uint32_t opening() const;
   void settle(TargetLink &Link);
   void probe();
--- a/src/gateway/router.cpp
+++ b/src/gateway/router.cpp
@@ -50,7 +50,8 @@
 
 void ServiceRouter::addTarget(const catalog::TargetEntry &Entry) {
   auto Pool =
-      std::make_unique<TargetPool>(this->InLoop, this->Protocol, this->Counters, *this, Entry);
+      std::make_unique<TargetPool>(this->InLoop, this->Protocol, this->Counters, *this, Entry,
+                                   this->Random());
   Pool->setLimit(this->Limits.MaxConnections, this->Instances);
   Pool->setPositions(&this->Positions);
   TargetPool &Added = *Pool;
@@ -195,18 +196,23 @@
   TargetPool *Primary = this->primary();
   placement::QueueLoad Load;
   Load.Connections = 0;
-  absl::Duration Total;
   for (const auto &[Id, Pool] : this->Pools) {
     if (!this->usable(*Pool) || (NeedsPrimary && Pool.get() != Primary))
       continue;
     uint32_t Links = std::max(1U, Pool->openLinks());
+    placement::Distance To = this->Here.to(Pool->entry().Centre);
     Load.Connections += Links;
-    Total += Links * Pool->record().held(this->Here.to(Pool->entry().Centre), Now);
+    Load.Pinned += Pool->pinnedLinks();
+    Load.SingleHeld += Links * Pool->record().held(false, To, Now);
+    Load.TransactionHeld += Links * Pool->record().held(true, To, Now);
+  }
+  if (Load.Connections > 0) {
+    Load.SingleHeld /= Load.Connections;
+    Load.TransactionHeld /= Load.Connections;
   }
-  if (Load.Connections > 0)
-    Load.Held = Total / Load.Connections;
   for (const auto &[Id, H] : this->Waiting)
-    Load.Ahead += !NeedsPrimary || H.What.Wait.NeedsPrimary ? 1 : 0;
+    if (!NeedsPrimary || H.What.Wait.NeedsPrimary)
+      ++(H.What.Wait.Transaction ? Load.Transactions : Load.Singles);
   Load.PrimaryAt = Primary ? absl::InfinitePast() : this->PrimaryExpected;
   return Load;
 }
@@ -218,7 +224,9 @@
   W.Wait.NeedsPrimary = !W.MaxAge.has_value();
   if (W.MaxAge)
     this->LastBoundedRead = Now;
-  Admission A = placement::admit(W.Wait, this->loadFor(W.Wait.NeedsPrimary), Now);
+  // Without a sample of the primary's position, reads of bounded age need the primary as well.
+  bool OnlyPrimary = W.Wait.NeedsPrimary || !this->floorOf(W);
+  Admission A = placement::admit(W.Wait, this->loadFor(OnlyPrimary), Now);
   if (A != Admission::Wait) {
     W.OnReject(A == Admission::RejectBusy ? Rejection::QueueFull : Rejection::NoPrimary);
     return Id;
@@ -325,6 +333,7 @@
     return false;
   }
   Link->TakenAt = this->InLoop.now();
+  Link->TakenByTransaction = H.What.Wait.Transaction;
   Work W = std::move(H.What);
   this->Queue.remove(W.Wait.Id);
   this->Waiting.erase(W.Wait.Id);
--- a/src/gateway/session.cpp
+++ b/src/gateway/session.cpp
@@ -285,7 +285,7 @@
   this->Op->Queued.reset();
   if (this->Op->Sent > 0)
     return; // a second attempt was rejected, the first one may still be answered
-  this->finishError(ErrorCode::Busy, "not run", rejectionName(R));
+  this->finishUnserved(rejectionName(R));
 }
 
 void Session::onGrant(uint64_t Number, const Grant &G) {
@@ -429,6 +429,7 @@
   if (!Reply) {
     Pool->record().onFailure(Now);
     ++O.Failures;
+    O.MayHaveRun = true;
     if (Read)
       this->retry(Pool, "connection_lost");
     else
@@ -444,6 +445,7 @@
     if (verdictOf(Code) != Verdict::NotRun) {
       Pool->record().onFailure(Now);
       ++O.Failures;
+      O.MayHaveRun = true;
     }
     bool Repeat = verdictOf(Code) == Verdict::NotRun
                       ? Code != ErrorCode::Malformed && Code != ErrorCode::TooLarge
@@ -456,6 +458,7 @@
   }
   if (!LeadProved) {
     // The read ran outside the transaction that should have proved the lead.
+    O.MayHaveRun = true;
     this->retry(Pool, "lead_not_proved");
     return;
   }
@@ -481,7 +484,7 @@
       .kv("cause", Why)
       .kv("attempt", O.Attempts);
   if (O.Failures >= MaxFailures || Now >= O.Arrived + O.Route.StatementTimeout * StartShare) {
-    this->finishError(ErrorCode::Busy, "not run", Why);
+    this->finishUnserved(Why);
     return;
   }
   if (std::find(O.Tried.begin(), O.Tried.end(), Pool->entry().Id) == O.Tried.end())
@@ -537,7 +540,8 @@
   --O.Sent;
   ServiceRouter *Router = this->Given.Host.router(O.Route.Service);
   if (Reply && !Reply->Error) {
-    if (!G.Floor)
+    this->Tx.AtPrimary = !G.Floor;
+    if (this->Tx.AtPrimary)
       Router->onLeadProved(*G.Pool, *Reply, AskedAt);
     this->Tx.Is = TxState::Open;
     this->sendInTransaction();
@@ -593,10 +597,12 @@
   }
   if (!Reply->Error) {
     Pool->record().onAnswer(Now - AskedAt, Now);
+    // A target that has lost its lead refuses all of such a transaction but an empty commit.
+    if (this->Tx.AtPrimary && (!Commit || this->Tx.Wrote))
+      Router->onLeadProved(*Pool, *Reply, AskedAt);
     if (Commit) {
       if (this->Tx.Wrote) {
         Pool->onWriteDone();
-        Router->onLeadProved(*Pool, *Reply, AskedAt);
         if (Reply->Position)
           this->OwnCommits = std::max(this->OwnCommits, *Reply->Position);
       }
@@ -648,7 +654,7 @@
     return;
   }
   if (O.Sent == 0) {
-    this->finishError(ErrorCode::Busy, "not run", "started_late");
+    this->finishUnserved("started_late");
     return;
   }
   if (this->Tx.Is == TxState::Begun) {
@@ -736,6 +742,14 @@
   this->pump();
 }
 
+// Only a statement that no target has run is refused as not run.
+void Session::finishUnserved(std::string_view Cause) {
+  if (this->Op->MayHaveRun)
+    this->finishError(ErrorCode::Failed, "the read failed at its targets", Cause);
+  else
+    this->finishError(ErrorCode::Busy, "not run", Cause);
+}
+
 void Session::logOutcome(std::string_view Outcome, std::string_view Cause) {
   const Operation &O = *this->Op;
   if (!this->Given.Lines.allows(this->Given.InLoop.now()))
--- a/src/gateway/session.h
+++ b/src/gateway/session.h
@@ -63,6 +63,7 @@
     TxState Is = TxState::None;
     bool ReadOnly = false;
     bool Wrote = false;
+    bool AtPrimary = false; // opened as one that only a primary serves
     catalog::Route Route;
     TargetLink *Link = nullptr;
     TargetPool *Pool = nullptr;
@@ -82,6 +83,7 @@
     int Sent = 0;     // attempts without an answer so far
     int Attempts = 0; // that reached a target
     int Failures = 0; // attempts that ran or were lost
+    bool MayHaveRun = false; // of a read: a target may have run it, and its rows were not used
     bool Hedged = false;
     std::vector<TargetId> Tried;
     TargetId LastTarget;              // for logs
@@ -117,6 +119,8 @@
 
   void finish(Answer Reply);
   void finishError(ErrorCode Code, std::string_view Text, std::string_view Cause);
+  // Ends a statement that no target is to try any more.
+  void finishUnserved(std::string_view Cause);
   void replyOwn();
   void replyError(ErrorCode Code, std::string_view Text);
   void reply(const Answer &A);
--- a/src/placement/choose.cpp
+++ b/src/placement/choose.cpp
@@ -26,6 +26,8 @@
   return Rows;
 }
 
+// Statements of a transaction, with its begin and its end, before one was seen.
+constexpr int FirstTransactionLength = 5;
 // Weight of one answer in the average.
 constexpr double AnswerWeight = 0.1;
 // Time in which an average returns half-way to the first guess while nothing is heard, so that a
@@ -69,13 +71,17 @@
   this->LastAnswer = Now;
 }
 
-void TargetRecord::onHeld(absl::Duration Held) {
-  double Weight = std::max(AnswerWeight, 1.0 / static_cast<double>(++this->Holds));
-  this->HeldMs += Weight * (absl::ToDoubleMilliseconds(Held) - this->HeldMs);
+void TargetRecord::onHeld(absl::Duration Held, bool Transaction) {
+  HoldTime &H = Transaction ? this->TransactionHolds : this->SingleHolds;
+  double Weight = std::max(AnswerWeight, 1.0 / static_cast<double>(++H.Count));
+  H.AverageMs += Weight * (absl::ToDoubleMilliseconds(Held) - H.AverageMs);
 }
 
-absl::Duration TargetRecord::held(Distance To, Instant Now) const {
-  return this->Holds > 0 ? absl::Milliseconds(this->HeldMs) : this->response(To, Now);
+absl::Duration TargetRecord::held(bool Transaction, Distance To, Instant Now) const {
+  const HoldTime &H = Transaction ? this->TransactionHolds : this->SingleHolds;
+  if (H.Count > 0)
+    return absl::Milliseconds(H.AverageMs);
+  return this->response(To, Now) * (Transaction ? FirstTransactionLength : 1);
 }
 
 void TargetRecord::onFailure(Instant Now) {
--- a/src/placement/choose.h
+++ b/src/placement/choose.h
@@ -27,9 +27,10 @@
   void onPosition(LogPosition At, Instant Now, const PositionHistory *Primary);
 
   // A connection was held by a statement, or by a whole transaction, for this time.
-  void onHeld(absl::Duration Held);
-  // Average time for which a connection is held; the response time before one was.
-  absl::Duration held(Distance To, Instant Now) const;
+  void onHeld(absl::Duration Held, bool Transaction);
+  // Average time for which a connection is held; before one was, the response time, or several of
+  // them for a transaction.
+  absl::Duration held(bool Transaction, Distance To, Instant Now) const;
 
   // Average time of an answer; falls back to the initial value while nothing is heard.
   absl::Duration response(Distance To, Instant Now) const;
@@ -43,8 +44,12 @@
 private:
   double AverageMs = 0;
   uint64_t Answers = 0;
-  double HeldMs = 0;
-  uint64_t Holds = 0;
+  struct HoldTime {
+    double AverageMs = 0;
+    uint64_t Count = 0;
+  };
+  HoldTime SingleHolds;
+  HoldTime TransactionHolds;
   double Failures = 0;
   Instant LastAnswer = absl::InfinitePast();
   Instant LastFailure = absl::InfinitePast();
--- a/src/placement/connections.cpp
+++ b/src/placement/connections.cpp
@@ -1,6 +1,9 @@
 #include "placement/connections.h"
 
+#include "absl/hash/hash.h"
+
 #include <algorithm>
+#include <tuple>
 
 namespace toucan::placement {
 
@@ -11,10 +14,15 @@
 constexpr uint32_t ControlReserve = 2;
 // Connections that one instance borrows at a target.
 constexpr uint32_t BorrowCount = 1;
+// Connections at rest that are replaced at a target.
+constexpr uint32_t MaxReplaced = 3;
 // Time after a refusal in which nothing is borrowed and connections are opened one by one: a target
 // drops the connections of a machine that is gone within 3 s.
 constexpr absl::Duration RefusalMemory = absl::Seconds(3);
 
+// Lots are drawn anew after this time: a few transactions of the usual length.
+constexpr absl::Duration LotInterval = absl::Seconds(2);
+
 } // namespace
 
 uint32_t connectionShare(uint32_t Limit, size_t Instances) {
@@ -24,6 +32,17 @@
 
 void ConnectionLimit::set(uint32_t Limit, size_t Instances) {
   this->Share = connectionShare(Limit, Instances);
+  double Given = static_cast<double>(Instances) * this->Share + ControlReserve;
+  double Rest = std::max(0.0, static_cast<double>(Limit) - Given);
+  this->Left = Rest / static_cast<double>(std::max<size_t>(1, Instances));
+}
+
+// Whether this instance has drawn the right to borrow for the present interval.
+bool ConnectionLimit::drawn(Instant Now) const {
+  int64_t Interval = absl::ToUnixMillis(Now) / absl::ToInt64Milliseconds(LotInterval);
+  size_t Lot = absl::Hash<std::tuple<uint64_t, int64_t>>()({this->Seed, Interval});
+  constexpr size_t Lots = 1024;
+  return static_cast<double>(Lot % Lots) < this->Left * Lots;
 }
 
 void ConnectionLimit::onRefused(Instant Now) {
@@ -31,12 +50,20 @@
   this->BorrowFrom = std::max(this->BorrowFrom, Now + RefusalMemory);
 }
 
+void ConnectionLimit::onPromoted(Instant Now) {
+  this->Contended = true;
+  this->BorrowFrom = std::max(this->BorrowFrom, Now + PromotedBorrowDelay);
+}
+
 uint32_t ConnectionLimit::opening(Instant Now) const {
   return Now < this->CautiousUntil ? 1 : this->Share;
 }
 
-uint32_t ConnectionLimit::borrowed(Instant Now) const {
-  return Now < this->BorrowFrom ? this->Share : this->Share + BorrowCount;
+uint32_t ConnectionLimit::borrowed(Instant Now, uint32_t Resting) const {
+  uint32_t Replaced = this->Share + std::min(Resting, MaxReplaced);
+  if (Now < this->BorrowFrom || (this->Contended && !this->drawn(Now)))
+    return Replaced;
+  return Replaced + BorrowCount;
 }
 
 } // namespace toucan::placement
--- a/src/placement/connections.h
+++ b/src/placement/connections.h
@@ -15,32 +15,54 @@
 // Connections to one target that this instance may hold open. Its share is its own. While
 // statements wait it borrows one more of what others leave unused: many instances have shares of
 // one, which a single transaction holds for its whole length. Load pattern: a crest at many
-// instances whose shares are one connection. A target that refuses a connection shows that nothing
+// instances whose shares are one connection. At a primary, which all instances need, it borrows by
+// lot, so that about as many borrow at a time as the shares leave: with 46 connections for 35
+// instances, fifteen that held two each kept others from the primary for 25 s. A target that refuses a connection shows that nothing
 // is left, or that the shares are not in force yet, as after instances were killed or added.
 class ConnectionLimit {
 public:
-  // No borrowing before BorrowFrom: after a start all instances need their shares at once.
-  explicit ConnectionLimit(Instant BorrowFrom) : BorrowFrom(BorrowFrom) {}
+  // No borrowing before BorrowFrom: after a start all instances need their shares at once. Seed tells
+  // instances and targets apart.
+  ConnectionLimit(Instant BorrowFrom, uint64_t Seed) : BorrowFrom(BorrowFrom), Seed(Seed) {}
   // Limit: of the target, for all instances.
   void set(uint32_t Limit, size_t Instances);
   // The target refused a connection.
   void onRefused(Instant Now);
+  // The target became the primary: every instance needs its share there now, and nothing is borrowed
+  // until all have had time to connect. Load pattern: a replica is promoted at a crest; the
+  // instances near it held two connections each and kept twelve others without any for 8 s.
+  void onPromoted(Instant Now);
+  // The target does not lead any more.
+  void onDemoted() { this->Contended = false; }
   // Connections that may be kept open.
   uint32_t share() const { return this->Share; }
   // Connections that may be in opening at the same time. After a refusal they are tried one by one:
   // the connections of machines that lost power stay counted at the target for seconds.
   uint32_t opening(Instant Now) const;
-  // Connections that may be open while statements wait for one.
-  uint32_t borrowed(Instant Now) const;
+  // Connections that may be open while statements wait for one. Resting: connections that rest in
+  // transactions whose callers send nothing; they are replaced within a bound, or one such caller
+  // would keep the service from all others of the instance. Load pattern: callers that begin a
+  // transaction, write and go silent.
+  uint32_t borrowed(Instant Now, uint32_t Resting = 0) const;
 
 private:
+  bool drawn(Instant Now) const;
+
   Instant BorrowFrom;
+  uint64_t Seed;
   uint32_t Share = 1;
+  double Left = 0;        // part of the instances that may borrow at the same time
+  bool Contended = false; // by all instances, as a primary is
   Instant CautiousUntil = absl::InfinitePast();
 };
 
 // No borrowing for this time after the start of the process.
 inline constexpr absl::Duration BorrowDelay = absl::Seconds(6);
+// A connection rests in a transaction when its caller has sent nothing for this time; longer than
+// the usual pause between two statements.
+inline constexpr absl::Duration RestingAfter = absl::Milliseconds(150);
+// Nor for this time after a target became the primary.
+inline constexpr absl::Duration PromotedBorrowDelay = absl::Seconds(5);
 // Of several connections that are idle, one is closed when all of them have been idle for this
 // time: connections that nobody needs would be counted for seconds after a loss of power.
 inline constexpr absl::Duration SurplusIdleLimit = absl::Seconds(2);
--- a/src/placement/queue.cpp
+++ b/src/placement/queue.cpp
@@ -5,15 +5,6 @@
 
 namespace toucan::placement {
 
-namespace {
-
-// Whether a transaction still lets single statements pass it.
-bool yields(const Waiting &W, Instant Now) {
-  return W.Transaction && Now < W.Arrived + (W.StartBefore - W.Arrived) / 2;
-}
-
-} // namespace
-
 void WaitQueue::add(const Waiting &W) {
   auto After =
       std::upper_bound(this->All.begin(), this->All.end(), W,
@@ -29,8 +20,8 @@
   // Visit may change the queue, so it works on a copy.
   std::vector<Waiting> Order = this->All;
   std::stable_sort(Order.begin(), Order.end(), [Now](const Waiting &A, const Waiting &B) {
-    return std::tuple(Now >= A.ObjectiveAt, A.Priority, yields(A, Now)) <
-           std::tuple(Now >= B.ObjectiveAt, B.Priority, yields(B, Now));
+    return std::tuple(Now >= A.ObjectiveAt, A.Priority, A.Transaction) <
+           std::tuple(Now >= B.ObjectiveAt, B.Priority, B.Transaction);
   });
   for (const Waiting &W : Order)
     if (!Visit(W))
@@ -55,11 +46,23 @@
   return Next;
 }
 
+absl::Duration expectedWait(const Waiting &W, const QueueLoad &Load) {
+  absl::Duration Work = Load.SingleHeld * static_cast<double>(Load.Singles);
+  if (W.Transaction)
+    Work += Load.TransactionHeld * static_cast<double>(Load.Transactions);
+  uint32_t Connections = std::max(1U, Load.Connections);
+  absl::Duration Wait = Work / Connections;
+  // With all connections in transactions, the first one to end has half of its time left, shared
+  // over so many of them.
+  if (Load.Pinned >= Connections)
+    Wait += Load.TransactionHeld / 2 / Connections;
+  return Wait;
+}
+
 Admission admit(const Waiting &W, const QueueLoad &Load, Instant Now) {
   if (W.NeedsPrimary && Load.PrimaryAt != absl::InfiniteFuture() && Load.PrimaryAt > W.StartBefore)
     return Admission::RejectNoPrimary;
-  double Rounds = static_cast<double>(Load.Ahead) / std::max(1U, Load.Connections);
-  if (Now + Load.Held * Rounds > W.StartBefore)
+  if (Now + expectedWait(W, Load) > W.StartBefore)
     return Admission::RejectBusy;
   return Admission::Wait;
 }
--- a/src/placement/queue.h
+++ b/src/placement/queue.h
@@ -24,8 +24,7 @@
 };
 
 // Statements of one service that wait. Order: those that can still meet their objective, then by
-// priority, then single statements before transactions that have not waited half of their time,
-// then by arrival. Load patterns: a crest longer than the queue can absorb, where plain arrival
+// priority, then single statements before transactions, then by arrival. Load patterns: a crest longer than the queue can absorb, where plain arrival
 // order would serve only statements that are late already; and a primary with one connection an
 // instance, which a transaction holds ten times longer than a single statement.
 class WaitQueue {
@@ -45,14 +44,23 @@
 
 // What is known when a statement arrives.
 struct QueueLoad {
-  size_t Ahead = 0;         // statements waiting for the same targets
-  uint32_t Connections = 1; // that serve them
-  absl::Duration Held;      // average time that one holds a connection
+  size_t Singles = 0;              // single statements waiting for the same targets
+  size_t Transactions = 0;         // transactions that wait as well
+  uint32_t Connections = 1;        // that serve them
+  uint32_t Pinned = 0;             // of these, held by transactions
+  absl::Duration SingleHeld;       // average time that a single statement holds a connection
+  absl::Duration TransactionHeld;  // average time that a transaction holds one
   // When the service will have a primary again; infinite past if it has one, infinite future if
   // that is not known.
   Instant PrimaryAt = absl::InfinitePast();
 };
 
+// Time until the statement starts by present speed. Transactions wait for all, single statements
+// only for each other and for a connection that transactions hold. Load pattern: a primary reached
+// over one connection, behind which transactions queue; with one average for both kinds, half of
+// those that were admitted waited until their limit.
+absl::Duration expectedWait(const Waiting &W, const QueueLoad &Load);
+
 enum class Admission : uint8_t { Wait, RejectBusy, RejectNoPrimary };
 
 // Rejects a statement that cannot start before its limit by present speed, at once rather than at
--- a/src/promotion/change.cpp
+++ b/src/promotion/change.cpp
@@ -268,23 +268,34 @@
   return {};
 }
 
-// Asks the promoted target whether it leads, since the directory may be late.
+// Asks the promoted target whether it leads, since the directory may be late. The others are paused
+// again: one that has started again since then would receive and acknowledge commits of the old
+// primary until the promotion takes effect. After that the order has no effect, as its term is not
+// above the new one.
 std::vector<Action> PrimaryChange::settle(Instant Now) {
   if (Now >= this->PhaseEnd)
     return this->claim(Now);
   this->Deadline = Now + SettlePoll;
-  return {{.Kind = ActionKind::Status, .Target = *this->Candidate}};
+  std::vector<Action> Out{{.Kind = ActionKind::Status, .Target = *this->Candidate}};
+  for (const auto &[Id, S] : this->Members)
+    if (!S.Is.Primary && Id != *this->Candidate)
+      Out.push_back({.Kind = ActionKind::Pause,
+                     .Target = Id,
+                     .InTerm = Term(this->Given.Newest.Value + 1)});
+  return Out;
 }
 
 // After the order it is too late to wait for the new target, but pausing it still keeps it from
 // acknowledging what the candidate lacks.
 std::vector<Action> PrimaryChange::onMember(const Member &M, Instant Now) {
-  if (this->At == Phase::Finished || M.Primary ||
-      !this->Members.try_emplace(M.Id, Seen{.Is = M}).second)
+  if (this->At == Phase::Finished || M.Primary || (this->Primary && M.Id == *this->Primary))
     return {};
+  // A target that started again under its id has lost its pause and all that it told.
+  this->Members.insert_or_assign(M.Id, Seen{.Is = M});
   if (this->At == Phase::Collecting)
     return this->collect(Now);
-  if (this->At == Phase::Promoting || this->At == Phase::Settling)
+  bool Ordered = this->At == Phase::Promoting || this->At == Phase::Settling;
+  if (Ordered && M.Id != *this->Candidate)
     return {
         {.Kind = ActionKind::Pause, .Target = M.Id, .InTerm = Term(this->Given.Newest.Value + 1)}};
   return {};
--- a/src/promotion/change_test.cpp
+++ b/src/promotion/change_test.cpp
@@ -76,6 +76,36 @@
   CHECK(promoted(C.onStatus(B, replica(6, 1, 2), at(30))) == B);
 }
 
+// Model seed 22: a paused replica started again under its id, received and acknowledged a commit
+// that the candidate lacked, and was still counted as paused.
+TEST_CASE("a lost primary: a replica that starts again has lost its pause") {
+  PrimaryChange C = makeChange(Trigger::Lost);
+  C.start(at(0));
+  claimed(C, 10);
+  C.onStatus(A, replica(5, 1, 2), at(20));
+  std::vector<Action> Out = C.onMember({.Id = A}, at(25));
+  CHECK(count(Out, ActionKind::Pause) >= 1);
+  CHECK_FALSE(promoted(C.onStatus(B, replica(5, 1, 2), at(30))));
+  CHECK(promoted(C.onStatus(A, replica(6, 1, 2), at(40))) == A);
+}
+
+TEST_CASE("replicas are paused again until the promotion takes effect") {
+  PrimaryChange C = makeChange(Trigger::Lost);
+  C.start(at(0));
+  claimed(C, 10);
+  C.onStatus(A, replica(5, 1, 2), at(20));
+  REQUIRE(promoted(C.onStatus(B, replica(6, 1, 2), at(30))) == B);
+  std::vector<Action> Out = C.onMember({.Id = A}, at(35));
+  REQUIRE(count(Out, ActionKind::Pause) == 1);
+  CHECK(Out[0].Target == A);
+  // The candidate itself goes on as it is.
+  CHECK(count(C.onMember({.Id = B}, at(36)), ActionKind::Pause) == 0);
+  C.onPromote(PromoteOutcome::Accepted, at(40));
+  Out = C.onTimer(at(200));
+  CHECK(count(Out, ActionKind::Status) == 1);
+  CHECK(count(Out, ActionKind::Pause) == 1);
+}
+
 // A replica that does not answer may have acknowledged a commit alone.
 TEST_CASE("a lost primary: no promotion while one replica may hold more") {
   PrimaryChange C = makeChange(Trigger::Lost);
