Soak: stand-in of the users' platform, and random faults on the real programs

It notes acknowledged commits that a promotion loses and statements that are committed twice. tests/soak starts it with two to four daemons, ten callers, and a loopback relay before each server, each daemon's callers and each daemon's store. Faults: kill, SIGTERM, suspension, SIGHUP; reset, silence, partition and one-way hold of a path; crash, planned replacement, lost answers, failures and slowness of a server; the store down, slow, with lost answers, without history; new configurations. They overlap and come in series. Checked: own writes, age bounds, promises, exactly once, session values, whole rows, routes that stay known, exit code and grace time, writes after the faults, and the final log of each group.

Also: fewer calls to the store.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -21,6 +21,8 @@
 constexpr absl::Duration BalancerNotice = absl::Milliseconds(2300);
 // Left of the time to drain when statements without an answer are answered as timed out.
 constexpr absl::Duration LastAnswers = absl::Milliseconds(250);
+// Instances write what they all learn at different moments within this time.
+constexpr uint64_t SaveSpreadMs = 4000;
 // Callers accepted in one round, so that a reconnect storm does not hold up running statements.
 constexpr int AcceptsPerRound = 64;
 
@@ -29,7 +31,8 @@
 Gateway::Gateway(Loop &InLoop, Codec &Protocol, Metrics &Counters, store::RowStore &Rows,
                  Promoter &Orders, GatewayOptions Options)
     : InLoop(InLoop), Protocol(Protocol), Counters(Counters), Options(std::move(Options)),
-      Instances(InLoop, Rows, this->Options.Self), Groups(InLoop, Rows),
+      Instances(InLoop, Rows, this->Options.Self),
+      Groups(InLoop, Rows, absl::Milliseconds(this->Options.Seed % SaveSpreadMs)),
       Claims(Rows, this->Options.Self), Orders(Orders), LastTick(InLoop.now()) {}
 
 Gateway::~Gateway() {
@@ -204,8 +207,8 @@
     this->applyChange(Change);
   for (auto &[Name, S] : this->Services) {
     S.Router->tick();
-    // Without the sizes of the groups no change of primary is safe.
-    if (!this->Draining && this->Groups.known())
+    // Without the size of the group no change of primary is safe.
+    if (!this->Draining && this->Groups.settled(Name))
       S.Changes->tick();
   }
   if (this->Draining)
--- a/src/gateway/groups.cpp
+++ b/src/gateway/groups.cpp
@@ -11,8 +11,6 @@
 
 const char *const GroupTable = "group-sizes";
 constexpr absl::Duration RetryInterval = absl::Seconds(1);
-// Registrations come one by one at the start; a size is written once it has stood for this time.
-constexpr absl::Duration SaveDelay = absl::Seconds(3);
 // While the whole system starts for the first time, targets register within this time.
 constexpr absl::Duration FirstStart = absl::Seconds(8);
 // A target that is replaced and its replacement are registered side by side for some seconds, which
@@ -21,29 +19,33 @@
 
 } // namespace
 
-void GroupSizes::start() {
+void GroupSizes::start() { this->read(); }
+
+void GroupSizes::read() {
   this->Rows.readAll(GroupTable, [this](const store::ReadResult &R) {
     if (!R.Done) {
       LogEvent(LogLevel::Warn, "group_sizes_not_read").kv("cause", R.Cause);
-      this->InLoop.at(this->InLoop.now() + RetryInterval, [this] { this->start(); });
+      this->InLoop.at(this->InLoop.now() + RetryInterval, [this] { this->read(); });
       return;
     }
     this->Read = true;
-    for (const store::Row &Row : R.Rows) {
-      uint32_t Size = 0;
-      if (!absl::SimpleAtoi(Row.Value, &Size)) {
-        LogEvent(LogLevel::Warn, "group_size_unreadable").kv("service", Row.Key);
-        continue;
-      }
-      catalog::ServiceName Service(Row.Key);
-      this->Saved[Service] = Size;
-      this->Sizes[Service] = std::max(this->Sizes[Service], Size);
-    }
-    for (const auto &[Service, Size] : this->Sizes)
-      this->save(Service);
+    this->onRows(R.Rows);
   });
 }
 
+void GroupSizes::onRows(const std::vector<store::Row> &Found) {
+  for (const store::Row &Row : Found) {
+    uint32_t Size = 0;
+    if (!absl::SimpleAtoi(Row.Value, &Size)) {
+      LogEvent(LogLevel::Warn, "group_size_unreadable").kv("service", Row.Key);
+      continue;
+    }
+    catalog::ServiceName Service(Row.Key);
+    this->Saved[Service] = Size;
+    this->Sizes[Service] = std::max(this->Sizes[Service], Size);
+  }
+}
+
 void GroupSizes::onRegistered(const catalog::ServiceName &Service, uint32_t Count) {
   Instant Now = this->InLoop.now();
   this->Registered[Service] = Count;
@@ -53,20 +55,47 @@
   }
   if (!this->Saved.contains(Service) && Now - this->Started < FirstStart) {
     this->Sizes[Service] = Count;
-    this->InLoop.at(Now + SaveDelay, [this, Service] { this->save(Service); });
+    this->saveLater(this->Started + FirstStart - Now);
     return;
   }
   if (this->LargerSince.try_emplace(Service, Now).second)
     this->InLoop.at(Now + GrowthDelay, [this, Service, Now] { this->grow(Service, Now); });
 }
 
+bool GroupSizes::settled(const catalog::ServiceName &Service) const {
+  return this->Read &&
+         (this->Saved.contains(Service) || this->InLoop.now() - this->Started >= FirstStart);
+}
+
+void GroupSizes::saveLater(absl::Duration Delay) {
+  if (std::exchange(this->SavePlanned, true))
+    return;
+  this->InLoop.at(this->InLoop.now() + Delay + this->Spread, [this] { this->saveMissing(); });
+}
+
+// Reads the table first: with many instances another one has usually written it.
+void GroupSizes::saveMissing() {
+  this->Rows.readAll(GroupTable, [this](const store::ReadResult &R) {
+    if (!R.Done) {
+      LogEvent(LogLevel::Warn, "group_sizes_not_read").kv("cause", R.Cause);
+      this->InLoop.at(this->InLoop.now() + RetryInterval, [this] { this->saveMissing(); });
+      return;
+    }
+    this->SavePlanned = false;
+    this->Read = true;
+    this->onRows(R.Rows);
+    for (const auto &[Service, Size] : this->Sizes)
+      this->save(Service);
+  });
+}
+
 void GroupSizes::grow(const catalog::ServiceName &Service, Instant Since) {
   auto It = this->LargerSince.find(Service);
   if (It == this->LargerSince.end() || It->second != Since)
     return;
   this->LargerSince.erase(It);
   this->Sizes[Service] = this->Registered[Service];
-  this->save(Service);
+  this->saveLater(absl::ZeroDuration());
 }
 
 uint32_t GroupSizes::size(const catalog::ServiceName &Service) const {
@@ -76,19 +105,19 @@
 
 void GroupSizes::save(const catalog::ServiceName &Service) {
   uint32_t Size = this->Sizes[Service];
-  if (!this->Read || this->Saved[Service] >= Size)
+  auto It = this->Saved.find(Service);
+  if (Size == 0 || (It != this->Saved.end() && It->second >= Size))
     return;
-  this->Saved[Service] = Size;
   this->Rows.overwrite(GroupTable, Service.Value, absl::StrCat(Size),
-                       [this, Service](const store::WriteResult &R) {
-                         if (R.Is == store::Written::Done)
+                       [this, Service, Size](const store::WriteResult &R) {
+                         if (R.Is == store::Written::Done) {
+                           this->Saved[Service] = std::max(this->Saved[Service], Size);
                            return;
+                         }
                          LogEvent(LogLevel::Warn, "group_size_not_written")
                              .kv("service", Service.Value)
                              .kv("cause", R.Cause);
-                         this->Saved[Service] = 0;
-                         this->InLoop.at(this->InLoop.now() + RetryInterval,
-                                         [this, Service] { this->save(Service); });
+                         this->saveLater(RetryInterval);
                        });
 }
 
--- a/src/gateway/groups.h
+++ b/src/gateway/groups.h
@@ -15,17 +15,25 @@
 // holds which is down.
 class GroupSizes {
 public:
-  GroupSizes(Loop &InLoop, store::RowStore &Rows)
-      : InLoop(InLoop), Rows(Rows), Started(InLoop.now()) {}
+  // Spread: added to the time at which this instance writes, so that the first of many instances
+  // writes and the others find its rows.
+  GroupSizes(Loop &InLoop, store::RowStore &Rows, absl::Duration Spread)
+      : InLoop(InLoop), Rows(Rows), Spread(Spread), Started(InLoop.now()) {}
 
   void start();
   // So many targets of the service are registered and stay.
   void onRegistered(const catalog::ServiceName &Service, uint32_t Count);
   // Known size; 0 before the sizes were read from the store.
   uint32_t size(const catalog::ServiceName &Service) const;
-  bool known() const { return this->Read; }
+  // The size is not about to grow: it was read from the store, or the first start is over. Before
+  // that, a missing primary is one that has not registered yet.
+  bool settled(const catalog::ServiceName &Service) const;
 
 private:
+  void read();
+  void saveLater(absl::Duration Delay);
+  void saveMissing();
+  void onRows(const std::vector<store::Row> &Found);
   void save(const catalog::ServiceName &Service);
   void grow(const catalog::ServiceName &Service, Instant Since);
 
@@ -35,8 +43,10 @@
   std::map<catalog::ServiceName, uint32_t> Saved;
   std::map<catalog::ServiceName, uint32_t> Registered;
   std::map<catalog::ServiceName, Instant> LargerSince;
+  absl::Duration Spread;
   Instant Started;
   bool Read = false;
+  bool SavePlanned = false;
 };
 
 } // namespace toucan::gateway
--- a/src/gateway/pool.cpp
+++ b/src/gateway/pool.cpp
@@ -62,8 +62,8 @@
 }
 
 uint32_t TargetPool::pinnedLinks() const {
-  return static_cast<uint32_t>(
-      std::count_if(this->Links.begin(), this->Links.end(), [](const auto &L) { return L->Pinned; }));
+  return static_cast<uint32_t>(std::count_if(this->Links.begin(), this->Links.end(),
+                                             [](const auto &L) { return L->Pinned; }));
 }
 
 uint32_t TargetPool::running() const {
--- a/src/gateway/router.cpp
+++ b/src/gateway/router.cpp
@@ -49,9 +49,8 @@
 }
 
 void ServiceRouter::addTarget(const catalog::TargetEntry &Entry) {
-  auto Pool =
-      std::make_unique<TargetPool>(this->InLoop, this->Protocol, this->Counters, *this, Entry,
-                                   this->Random());
+  auto Pool = std::make_unique<TargetPool>(this->InLoop, this->Protocol, this->Counters, *this,
+                                           Entry, this->Random());
   Pool->setLimit(this->Limits.MaxConnections, this->Instances);
   Pool->setPositions(&this->Positions);
   TargetPool &Added = *Pool;
--- a/src/gateway/session.h
+++ b/src/gateway/session.h
@@ -80,9 +80,9 @@
     Instant Arrived;
     Instant AnswerBy;
     std::optional<placement::WaitingId> Queued;
-    int Sent = 0;     // attempts without an answer so far
-    int Attempts = 0; // that reached a target
-    int Failures = 0; // attempts that ran or were lost
+    int Sent = 0;            // attempts without an answer so far
+    int Attempts = 0;        // that reached a target
+    int Failures = 0;        // attempts that ran or were lost
     bool MayHaveRun = false; // of a read: a target may have run it, and its rows were not used
     bool Hedged = false;
     std::vector<TargetId> Tried;
--- a/src/placement/connections.h
+++ b/src/placement/connections.h
@@ -17,20 +17,21 @@
 // one, which a single transaction holds for its whole length. Load pattern: a crest at many
 // instances whose shares are one connection. At a primary, which all instances need, it borrows by
 // lot, so that about as many borrow at a time as the shares leave: with 46 connections for 35
-// instances, fifteen that held two each kept others from the primary for 25 s. A target that refuses a connection shows that nothing
-// is left, or that the shares are not in force yet, as after instances were killed or added.
+// instances, fifteen that held two each kept others from the primary for 25 s. A target that
+// refuses a connection shows that nothing is left, or that the shares are not in force yet, as
+// after instances were killed or added.
 class ConnectionLimit {
 public:
-  // No borrowing before BorrowFrom: after a start all instances need their shares at once. Seed tells
-  // instances and targets apart.
+  // No borrowing before BorrowFrom: after a start all instances need their shares at once. Seed
+  // tells instances and targets apart.
   ConnectionLimit(Instant BorrowFrom, uint64_t Seed) : BorrowFrom(BorrowFrom), Seed(Seed) {}
   // Limit: of the target, for all instances.
   void set(uint32_t Limit, size_t Instances);
   // The target refused a connection.
   void onRefused(Instant Now);
-  // The target became the primary: every instance needs its share there now, and nothing is borrowed
-  // until all have had time to connect. Load pattern: a replica is promoted at a crest; the
-  // instances near it held two connections each and kept twelve others without any for 8 s.
+  // The target became the primary: every instance needs its share there now, and nothing is
+  // borrowed until all have had time to connect. Load pattern: a replica is promoted at a crest;
+  // the instances near it held two connections each and kept twelve others without any for 8 s.
   void onPromoted(Instant Now);
   // The target does not lead any more.
   void onDemoted() { this->Contended = false; }
--- a/src/placement/placement_test.cpp
+++ b/src/placement/placement_test.cpp
@@ -240,8 +240,8 @@
   CHECK(L.borrowed(at(10000)) == 2);
 }
 
-// Load: a replica near some instances is promoted at a crest. Instances that had borrowed there kept
-// their second connection, and twelve of 35 had none for 8 s.
+// Load: a replica near some instances is promoted at a crest. Instances that had borrowed there
+// kept their second connection, and twelve of 35 had none for 8 s.
 TEST_CASE("connections: nothing is borrowed at a target that has just been promoted") {
   ConnectionLimit L(at(0), 1);
   L.set(12, 2); // five each, two left
--- a/src/placement/queue.h
+++ b/src/placement/queue.h
@@ -24,9 +24,10 @@
 };
 
 // Statements of one service that wait. Order: those that can still meet their objective, then by
-// priority, then single statements before transactions, then by arrival. Load patterns: a crest longer than the queue can absorb, where plain arrival
-// order would serve only statements that are late already; and a primary with one connection an
-// instance, which a transaction holds ten times longer than a single statement.
+// priority, then single statements before transactions, then by arrival. Load patterns: a crest
+// longer than the queue can absorb, where plain arrival order would serve only statements that are
+// late already; and a primary with one connection an instance, which a transaction holds ten times
+// longer than a single statement.
 class WaitQueue {
 public:
   void add(const Waiting &W);
@@ -44,12 +45,12 @@
 
 // What is known when a statement arrives.
 struct QueueLoad {
-  size_t Singles = 0;              // single statements waiting for the same targets
-  size_t Transactions = 0;         // transactions that wait as well
-  uint32_t Connections = 1;        // that serve them
-  uint32_t Pinned = 0;             // of these, held by transactions
-  absl::Duration SingleHeld;       // average time that a single statement holds a connection
-  absl::Duration TransactionHeld;  // average time that a transaction holds one
+  size_t Singles = 0;             // single statements waiting for the same targets
+  size_t Transactions = 0;        // transactions that wait as well
+  uint32_t Connections = 1;       // that serve them
+  uint32_t Pinned = 0;            // of these, held by transactions
+  absl::Duration SingleHeld;      // average time that a single statement holds a connection
+  absl::Duration TransactionHeld; // average time that a transaction holds one
   // When the service will have a primary again; infinite past if it has one, infinite future if
   // that is not known.
   Instant PrimaryAt = absl::InfinitePast();
--- a/src/promotion/change.cpp
+++ b/src/promotion/change.cpp
@@ -279,9 +279,8 @@
   std::vector<Action> Out{{.Kind = ActionKind::Status, .Target = *this->Candidate}};
   for (const auto &[Id, S] : this->Members)
     if (!S.Is.Primary && Id != *this->Candidate)
-      Out.push_back({.Kind = ActionKind::Pause,
-                     .Target = Id,
-                     .InTerm = Term(this->Given.Newest.Value + 1)});
+      Out.push_back(
+          {.Kind = ActionKind::Pause, .Target = Id, .InTerm = Term(this->Given.Newest.Value + 1)});
   return Out;
 }
 
--- a/tests/relay.cpp
+++ b/tests/relay.cpp
@@ -163,6 +163,12 @@
   }
 }
 
+void Relay::hold(bool FromNear, bool FromFar) {
+  std::lock_guard Lock(this->Mutex);
+  this->HeldFromNear = FromNear;
+  this->HeldFromFar = FromFar;
+}
+
 void Relay::goSilent(Pair &P) {
   P.Silent = true;
   P.Near.Unsent.clear();
@@ -208,8 +214,10 @@
       for (const Pair &P : this->Pairs) {
         if (P.Silent || this->Partitioned)
           continue;
-        Waits.push_back({P.Near.Fd, POLLIN, 0});
-        Waits.push_back({P.Far.Fd, POLLIN, 0});
+        if (!this->HeldFromNear)
+          Waits.push_back({P.Near.Fd, POLLIN, 0});
+        if (!this->HeldFromFar)
+          Waits.push_back({P.Far.Fd, POLLIN, 0});
       }
     }
     ::poll(Waits.data(), Waits.size(), PollMs);
@@ -244,10 +252,12 @@
 }
 
 void Relay::serve(Pair &P) {
-  this->forward(P.Near, P.Far, &P);
+  if (!this->HeldFromNear)
+    this->forward(P.Near, P.Far, &P);
   if (P.Silent)
     return;
-  this->forward(P.Far, P.Near, nullptr);
+  if (!this->HeldFromFar)
+    this->forward(P.Far, P.Near, nullptr);
 }
 
 // Passes on what has arrived; Outward is the connection when To is the target.
--- a/tests/relay.h
+++ b/tests/relay.h
@@ -40,6 +40,9 @@
   // ones get no answer, not even a reset. Open connections go on after the cut unless an end gave
   // up.
   void partition(bool Cut);
+  // Holds back what one side sends, or both, until it is called again: a path that is cut one way,
+  // or that delays. Nothing is lost.
+  void hold(bool FromNear, bool FromFar);
   // How a path is broken.
   enum class Path : uint8_t {
     Closed, // connections end at once
@@ -79,6 +82,8 @@
   mutable std::mutex Mutex;
   bool Stopping = false;
   bool Partitioned = false;
+  bool HeldFromNear = false;
+  bool HeldFromFar = false;
   uint16_t Target = 0;
   std::map<std::string, std::string> Replacements;
   std::string Watched;
--- /dev/null
+++ b/tests/soak/soak_test.cpp
@@ -0,0 +1,306 @@
+// Randomized soak of toucanrund-hosted: the real programs as processes, faults from outside them,
+// and the promises checked from what callers and servers see.
+//
+// TOUCAN_SOAK_SEEDS="FIRST-LAST" and TOUCAN_SOAK_SECONDS set another range and length.
+#include "ledger.h"
+#include "standin/client.h"
+#include "system.h"
+
+#include "absl/strings/numbers.h"
+#include "absl/strings/str_cat.h"
+#include "absl/strings/str_join.h"
+#include "absl/strings/str_split.h"
+
+#include <doctest/doctest.h>
+
+#include <cstdlib>
+#include <fstream>
+#include <thread>
+
+using namespace toucan::test;
+using std::chrono::milliseconds;
+using std::chrono::steady_clock;
+using toucan::standin::LineAnswer;
+using toucan::standin::LineClient;
+
+namespace {
+
+constexpr size_t CallerCount = 10;
+constexpr int DefaultSeconds = 12;
+// Bounded age of the aged route, and the time that the answer takes to reach its caller.
+constexpr milliseconds MaxAge{1500};
+// Seeds that ever failed stay here, each with a line on the cause.
+const std::vector<uint64_t> RegressionSeeds = {};
+
+uint64_t setting(const char *Name, uint64_t Default) {
+  const char *Text = std::getenv(Name);
+  uint64_t Out = Default;
+  return Text && absl::SimpleAtoi(Text, &Out) ? Out : Default;
+}
+
+// One caller, which writes items of its own and reads those of all.
+class Caller {
+public:
+  Caller(size_t Number, uint64_t Seed, SoakSystem &System, Ledger &Book)
+      : Number(Number), Random(Seed * 1000 + Number), System(System), Book(Book) {}
+
+  // One operation; opens a session when none is open or once in a while.
+  void step() {
+    if (!this->Line.isOpen() || this->below(12) == 0)
+      this->reconnect();
+    if (!this->Line.isOpen())
+      return;
+    switch (this->below(7)) {
+    case 0:
+    case 1:
+      return this->write();
+    case 2:
+      return this->transaction();
+    case 3:
+      return this->readOwn();
+    case 4:
+      return this->sessionState();
+    default:
+      return this->readAny();
+    }
+  }
+
+  // Whether a write at the group succeeds now.
+  bool writes(size_t Group) {
+    this->Line.open(this->System.callerPort(this->below(this->System.daemons())),
+                    absl::StrCat("primary", Group));
+    this->Group = Group;
+    size_t Before = this->Successes;
+    if (this->Line.isOpen())
+      this->write();
+    return this->Successes > Before;
+  }
+
+  size_t successes() const { return this->Successes; }
+
+private:
+  size_t below(size_t Limit) {
+    return std::uniform_int_distribution<size_t>(0, Limit - 1)(this->Random);
+  }
+
+  void reconnect() {
+    static const std::vector<std::string> Routes = {"primary", "own", "aged"};
+    this->Route = Routes[this->below(Routes.size())];
+    this->Group = this->below(this->System.groups());
+    this->SessionFloor.clear();
+    this->Owner.clear();
+    this->Line.open(this->System.callerPort(this->below(this->System.daemons())),
+                    absl::StrCat(this->Route, this->Group));
+    if (!this->Line.refusal().empty() && this->Line.refusal() != "TOOMANY")
+      this->Book.violation(absl::StrCat("route ", this->Route, this->Group, " is refused with ",
+                                        this->Line.refusal()));
+  }
+
+  LineAnswer ask(const std::string &Text) {
+    return this->Line.query(absl::StrCat("s", this->Number, "-", ++this->Queries), Text);
+  }
+
+  // The item written now; a new one after an unknown outcome.
+  std::string item() const {
+    return absl::StrCat("c", this->Number, "-", this->Group, "-", this->Generation);
+  }
+
+  void conclude(const LineAnswer &A, const std::string &Item, uint64_t Written) {
+    if (A.Whole && A.Done) {
+      this->Book.acknowledged(this->Group, Item, Written);
+      this->SessionFloor[Item] = Written;
+      ++this->Successes;
+    } else if (A.Whole && A.promised()) {
+      this->Book.refused(this->Group, Item, Written);
+    } else {
+      ++this->Generation;
+    }
+  }
+
+  void write() {
+    std::string Item = this->item();
+    uint64_t Written = ++this->Next;
+    bool Prepared = this->below(4) == 0;
+    if (Prepared) {
+      LineAnswer A = this->ask("PREPARE p WRITE shape");
+      if (!A.Whole || !A.Done)
+        return this->Line.hangUp();
+    }
+    LineAnswer A = this->ask(absl::StrCat(Prepared ? "EXEC p " : "WRITE ", Item, " ", Written));
+    this->conclude(A, Item, Written);
+  }
+
+  void transaction() {
+    std::string Item = this->item();
+    uint64_t Written = ++this->Next;
+    bool Keep = this->below(4) != 0;
+    LineAnswer A = this->ask("BEGIN");
+    if (!A.Whole || !A.Done)
+      return this->Line.hangUp();
+    A = this->ask(absl::StrCat("WRITE ", Item, " ", Written));
+    if (A.Whole && A.Done && this->below(2) == 0)
+      A = this->ask(absl::StrCat("READ ", Item));
+    if (A.Whole && A.Done && !A.Rows.empty() && this->numberOf(A) != Written)
+      this->Book.violation("a transaction does not see its own write of " + Item);
+    if (!A.Whole || !A.Done) {
+      // The transaction was not committed, so that nothing of it may be kept.
+      this->Book.refused(this->Group, Item, Written);
+      return this->Line.hangUp();
+    }
+    if (!Keep) {
+      this->Book.refused(this->Group, Item, Written);
+      A = this->ask("ROLLBACK");
+      if (!A.Whole || A.State != 'I')
+        this->Line.hangUp();
+      return;
+    }
+    A = this->ask("COMMIT");
+    this->conclude(A, Item, Written);
+  }
+
+  static uint64_t numberOf(const LineAnswer &A) {
+    std::vector<std::string> Words = absl::StrSplit(A.Rows.front(), ' ');
+    uint64_t Out = 0;
+    return absl::SimpleAtoi(Words[0], &Out) ? Out : 0;
+  }
+
+  void readOwn() {
+    std::string Item = this->item();
+    uint64_t Floor = this->SessionFloor.contains(Item) ? this->SessionFloor[Item] : 0;
+    if (this->Route == "aged")
+      Floor = 0;
+    this->read(Item, Floor, "own write of the session");
+  }
+
+  void readAny() {
+    std::string Item = this->Book.anyItem(this->Group, this->Random());
+    if (Item.empty())
+      return;
+    auto Now = steady_clock::now();
+    // Both rules of age allow 1,500 ms in the configuration of the stand-in.
+    uint64_t Floor =
+        this->Book.floor(this->Group, Item, this->Route == "primary" ? Now : Now - MaxAge);
+    this->read(Item, Floor, this->Route);
+  }
+
+  void read(const std::string &Item, uint64_t Floor, const std::string &How) {
+    LineAnswer A = this->ask("READ " + Item);
+    if (!A.Whole || !A.Done)
+      return;
+    if (A.Rows.size() != 1) {
+      this->Book.violation("a read is answered without its row");
+      return;
+    }
+    ++this->Successes;
+    this->Book.checkRead(this->Group, Item, numberOf(A), Floor, How);
+    std::vector<std::string> Words = absl::StrSplit(A.Rows[0], ' ');
+    std::string Wanted = this->Owner.empty() ? "-" : this->Owner;
+    if (Words.size() != 2 || Words[1] != Wanted)
+      this->Book.violation(
+          absl::StrCat("session value \"", A.Rows[0], "\" where ", Wanted, " was set"));
+  }
+
+  void sessionState() {
+    std::string Value = absl::StrCat("v", this->Number, "-", ++this->Queries);
+    LineAnswer A = this->ask("SET owner " + Value);
+    if (!A.Whole || !A.Done)
+      return this->Line.hangUp();
+    this->Owner = Value;
+    this->readAny();
+  }
+
+  size_t Number;
+  std::mt19937_64 Random;
+  SoakSystem &System;
+  Ledger &Book;
+  LineClient Line;
+  std::string Route;
+  size_t Group = 0;
+  std::map<std::string, uint64_t> SessionFloor;
+  std::string Owner;
+  uint64_t Next = 0;
+  uint64_t Generation = 0;
+  uint64_t Queries = 0;
+  size_t Successes = 0;
+};
+
+// An accepted configuration never reverts: a route that a process has served stays known to it.
+class RouteWatch {
+public:
+  void check(SoakSystem &System, Ledger &Book, bool All) {
+    for (const std::string &Route : System.addedRoutes())
+      for (size_t D = 0; D < System.daemons(); ++D) {
+        LineClient Line;
+        bool Open = Line.open(System.callerPort(D), Route);
+        if (!Open && All && Line.refusal() == "NODB")
+          Book.violation(absl::StrCat("daemon", D, " does not know ", Route, " at the end"));
+      }
+  }
+};
+
+void runSeed(uint64_t Seed, int Seconds) {
+  CAPTURE(Seed);
+  TestDir Directory;
+  Ledger Book;
+  std::mt19937_64 Random(Seed);
+  SoakSize Size;
+  Size.Daemons = 2 + Seed % 3;
+  SoakSystem System(Directory.file("."), Seed, Size, Book);
+  REQUIRE(eventually([&] { return System.allReady(); }));
+  std::atomic<bool> Stop = false;
+  std::atomic<size_t> Successes = 0;
+  std::vector<std::thread> Threads;
+  for (size_t N = 0; N < CallerCount; ++N)
+    Threads.emplace_back([&, N] {
+      Caller C(N, Seed, System, Book);
+      while (!Stop) {
+        C.step();
+        std::this_thread::sleep_for(milliseconds(5));
+      }
+      Successes += C.successes();
+    });
+  // A calm start, in which the group sizes are settled.
+  std::this_thread::sleep_for(std::chrono::seconds(9));
+  auto End = steady_clock::now() + std::chrono::seconds(Seconds);
+  while (steady_clock::now() < End) {
+    System.step(Random);
+    std::this_thread::sleep_for(milliseconds(std::uniform_int_distribution<int>(100, 900)(Random)));
+  }
+  System.heal();
+  CHECK(eventually([&] { return System.allReady(); }, std::chrono::seconds(15)));
+  Caller Last(CallerCount, Seed, System, Book);
+  for (size_t G = 0; G < System.groups(); ++G)
+    CHECK_MESSAGE(eventually([&] { return Last.writes(G); }, std::chrono::seconds(15)),
+                  "group " << G << " accepts no write after the faults");
+  Stop = true;
+  for (std::thread &T : Threads)
+    T.join();
+  RouteWatch().check(System, Book, true);
+  for (size_t G = 0; G < System.groups(); ++G)
+    Book.checkLog(G, System.get(absl::StrCat("/test/log?group=", G)));
+  CHECK(System.get("/test/violations") == "");
+  std::string Found;
+  for (const std::string &V : Book.violations())
+    absl::StrAppend(&Found, V, "\n");
+  CHECK(Found == "");
+  CHECK(Successes > 100);
+  std::ofstream(Directory.file("faults")) << absl::StrJoin(System.history(), "\n") << "\n";
+  MESSAGE("seed " << Seed << ": " << Successes << " operations, " << Book.acknowledgedCount()
+                  << " acknowledged writes, " << System.history().size() << " faults");
+}
+
+} // namespace
+
+TEST_CASE("soak: promises hold while daemons, paths, servers and the store fail") {
+  std::string Range = std::getenv("TOUCAN_SOAK_SEEDS") ? std::getenv("TOUCAN_SOAK_SEEDS") : "1-2";
+  std::vector<std::string> Ends = absl::StrSplit(Range, '-');
+  uint64_t First = 0;
+  uint64_t LastSeed = 0;
+  REQUIRE(absl::SimpleAtoi(Ends.front(), &First));
+  REQUIRE(absl::SimpleAtoi(Ends.back(), &LastSeed));
+  int Seconds = static_cast<int>(setting("TOUCAN_SOAK_SECONDS", DefaultSeconds));
+  for (uint64_t Seed : RegressionSeeds)
+    runSeed(Seed, Seconds);
+  for (uint64_t Seed = First; Seed <= LastSeed; ++Seed)
+    runSeed(Seed, Seconds);
+}
--- /dev/null
+++ b/tests/soak/system.cpp
@@ -0,0 +1,312 @@
+#include "system.h"
+
+#include "ledger.h"
+#include "standin/client.h"
+
+#include "absl/strings/str_cat.h"
+
+#include <httplib.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <csignal>
+#include <fstream>
+#include <thread>
+
+namespace toucan::test {
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::steady_clock;
+
+// A daemon that gets SIGTERM ends within the grace time of its settings.
+constexpr milliseconds StopLimit{7000};
+
+uint16_t freePort() {
+  int Fd = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  sockaddr_in At{};
+  At.sin_family = AF_INET;
+  At.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  socklen_t Length = sizeof At;
+  ::bind(Fd, reinterpret_cast<sockaddr *>(&At), Length);
+  ::getsockname(Fd, reinterpret_cast<sockaddr *>(&At), &Length);
+  ::close(Fd);
+  return ntohs(At.sin_port);
+}
+
+int between(std::mt19937_64 &Random, int Low, int High) {
+  return std::uniform_int_distribution<int>(Low, High)(Random);
+}
+
+} // namespace
+
+SoakSystem::SoakSystem(const std::string &Directory, uint64_t Seed, SoakSize Size, Ledger &Book)
+    : Directory(Directory), Size(Size), Book(Book), Began(steady_clock::now()) {
+  this->Platform = std::make_unique<Process>(
+      "standin-hosted", std::vector<std::string>{std::to_string(Seed)}, Directory + "/platform");
+  this->PlatformPort = this->Platform->port("http");
+  for (size_t G = 0; G < Size.Groups; ++G) {
+    this->Servers.emplace_back();
+    this->ServerBusy.emplace_back(Size.Servers);
+    for (size_t S = 0; S < Size.Servers; ++S) {
+      auto R = std::make_unique<Relay>();
+      R->setTarget(this->Platform->port(absl::StrCat("server", G, "-", S)));
+      this->post(absl::StrCat("/test/advertise?group=", G, "&server=", S, "&port=", R->port()));
+      this->Servers.back().push_back(std::move(R));
+    }
+  }
+  for (size_t I = 0; I < Size.Daemons; ++I) {
+    auto D = std::make_unique<Daemon>();
+    D->Name = absl::StrCat("daemon", I);
+    D->CallerPort = freePort();
+    D->ReadinessPort = freePort();
+    D->MetricsPort = freePort();
+    D->Settings = Directory + "/" + D->Name + ".yaml";
+    D->Front.setTarget(D->CallerPort);
+    D->Store.setTarget(this->PlatformPort);
+    std::ofstream(D->Settings) << standin::settingsText({.Name = D->Name,
+                                                         .DataCentre = absl::StrCat("z", I % 2),
+                                                         .CallerPort = D->CallerPort,
+                                                         .ReadinessPort = D->ReadinessPort,
+                                                         .StorePort = D->Store.port(),
+                                                         .OrdersPort = D->Store.port()});
+    this->startDaemon(*D);
+    this->Daemons.push_back(std::move(D));
+  }
+}
+
+SoakSystem::~SoakSystem() = default;
+
+void SoakSystem::startDaemon(Daemon &D) {
+  // The processes of one run are started by one thread.
+  ::setenv("TOUCANRUN_CONFIG", D.Settings.c_str(), 1);
+  ::setenv("TOUCANRUN_METRICS_PORT", std::to_string(D.MetricsPort).c_str(), 1);
+  D.Runs = std::make_unique<Process>("toucanrund-hosted", std::vector<std::string>{},
+                                     absl::StrCat(this->Directory, "/", D.Name, "-", D.Starts++));
+  D.Stopping = false;
+  D.Suspended = false;
+}
+
+void SoakSystem::post(const std::string &Path) const {
+  httplib::Client("127.0.0.1", this->PlatformPort).Post(Path, "", "text/plain");
+}
+
+std::string SoakSystem::get(const std::string &Path) const {
+  httplib::Result R = httplib::Client("127.0.0.1", this->PlatformPort).Get(Path);
+  return R && R->status == 200 ? R->body : std::string();
+}
+
+bool SoakSystem::allReady() {
+  for (const auto &D : this->Daemons) {
+    httplib::Client Http("127.0.0.1", D->ReadinessPort);
+    Http.set_connection_timeout(milliseconds(300));
+    Http.set_read_timeout(milliseconds(300));
+    httplib::Result R = Http.Get("/v1/ready");
+    if (!R || R->status != 200)
+      return false;
+  }
+  return true;
+}
+
+std::vector<std::string> SoakSystem::addedRoutes() const {
+  std::lock_guard Lock(this->Mutex);
+  return this->Routes;
+}
+
+void SoakSystem::note(const std::string &What) {
+  auto Ms = std::chrono::duration_cast<milliseconds>(steady_clock::now() - this->Began).count();
+  this->History.push_back(absl::StrCat(Ms, " ms: ", What));
+}
+
+void SoakSystem::later(int Ms, std::function<void()> Do) {
+  this->Pending.push_back({.At = steady_clock::now() + milliseconds(Ms), .Do = std::move(Do)});
+}
+
+void SoakSystem::runDue(bool All) {
+  std::vector<Due> Ready;
+  std::erase_if(this->Pending, [&](Due &D) {
+    if (!All && D.At > steady_clock::now())
+      return false;
+    Ready.push_back(std::move(D));
+    return true;
+  });
+  for (const Due &D : Ready)
+    D.Do();
+}
+
+void SoakSystem::step(std::mt19937_64 &Random) {
+  this->runDue(false);
+  switch (between(Random, 0, 9)) {
+  case 0:
+  case 1:
+  case 2:
+    return this->faultOfDaemon(Random);
+  case 3:
+  case 4:
+  case 5:
+    return this->faultOfPath(Random);
+  case 6:
+  case 7:
+    return this->faultOfServer(Random);
+  default:
+    return this->faultOfStore(Random);
+  }
+}
+
+// Kills, stops, suspends or reloads a daemon. Callers go on using its connections until it is gone.
+void SoakSystem::faultOfDaemon(std::mt19937_64 &Random) {
+  Daemon &D = *this->Daemons[static_cast<size_t>(
+      between(Random, 0, static_cast<int>(this->Daemons.size()) - 1))];
+  if (!D.Runs || D.Stopping || D.Suspended)
+    return;
+  int For = between(Random, 200, 3000);
+  switch (between(Random, 0, 3)) {
+  case 0:
+    this->note("kill " + D.Name);
+    D.Runs->kill();
+    D.Runs.reset();
+    this->later(For, [this, &D] { this->startDaemon(D); });
+    return;
+  case 1:
+    this->note("terminate " + D.Name);
+    D.Runs->signal(SIGTERM);
+    D.Stopping = true;
+    this->later(static_cast<int>(StopLimit.count()), [this, &D] {
+      if (D.Runs->wait(milliseconds(0)) != 0)
+        this->Book.violation(D.Name + " did not end with code 0 within the grace time");
+      this->startDaemon(D);
+    });
+    return;
+  case 2:
+    this->note(absl::StrCat("suspend ", D.Name, " for ", For));
+    D.Runs->signal(SIGSTOP);
+    D.Suspended = true;
+    this->later(For, [&D] {
+      D.Runs->signal(SIGCONT);
+      D.Suspended = false;
+    });
+    return;
+  default:
+    this->note("reload " + D.Name);
+    D.Runs->signal(SIGHUP);
+  }
+}
+
+// Harms the path to callers, to the store or to a server.
+void SoakSystem::faultOfPath(std::mt19937_64 &Random) {
+  size_t I = static_cast<size_t>(between(Random, 0, static_cast<int>(this->Daemons.size()) - 1));
+  size_t G = static_cast<size_t>(between(Random, 0, static_cast<int>(this->Size.Groups) - 1));
+  size_t S = static_cast<size_t>(between(Random, 0, static_cast<int>(this->Size.Servers) - 1));
+  int Where = between(Random, 0, 3);
+  Relay &R = Where == 0   ? this->Daemons[I]->Front
+             : Where == 1 ? this->Daemons[I]->Store
+                          : *this->Servers[G][S];
+  std::string Name = Where == 0   ? absl::StrCat("callers of daemon", I)
+                     : Where == 1 ? absl::StrCat("store of daemon", I)
+                                  : absl::StrCat("server ", G, "-", S);
+  int For = between(Random, 100, 3000);
+  switch (between(Random, 0, 4)) {
+  case 0:
+    this->note("reset path: " + Name);
+    R.cut();
+    return;
+  case 1:
+    this->note("silence path: " + Name);
+    R.silence();
+    return;
+  case 2:
+    this->note(absl::StrCat("partition path for ", For, ": ", Name));
+    R.partition(true);
+    this->later(For, [&R] { R.partition(false); });
+    return;
+  case 3:
+    this->note(absl::StrCat("hold requests for ", For, ": ", Name));
+    R.hold(true, false);
+    this->later(For, [&R] { R.hold(false, false); });
+    return;
+  default:
+    this->note(absl::StrCat("hold answers for ", For, ": ", Name));
+    R.hold(false, true);
+    this->later(For, [&R] { R.hold(false, false); });
+  }
+}
+
+void SoakSystem::faultOfServer(std::mt19937_64 &Random) {
+  size_t G = static_cast<size_t>(between(Random, 0, static_cast<int>(this->Size.Groups) - 1));
+  size_t S = static_cast<size_t>(between(Random, 0, static_cast<int>(this->Size.Servers) - 1));
+  // One server of a group at a time: with two gone, nothing acknowledged can be proved to be kept.
+  if (std::find(this->ServerBusy[G].begin(), this->ServerBusy[G].end(), true) !=
+      this->ServerBusy[G].end())
+    return;
+  this->ServerBusy[G][S] = true;
+  std::string At = absl::StrCat("?group=", G, "&server=", S);
+  int For = between(Random, 500, 4000);
+  switch (between(Random, 0, 3)) {
+  case 0:
+    this->note(absl::StrCat("crash server", At, " for ", For));
+    this->post("/test/crash" + At);
+    this->later(For, [this, At, G, S] {
+      this->post("/test/start" + At);
+      this->ServerBusy[G][S] = false;
+    });
+    return;
+  case 1:
+    this->note("replace server" + At);
+    this->post("/test/leave" + At);
+    this->later(6000, [this, At] { this->post("/test/crash" + At); });
+    this->later(8000, [this, At, G, S] {
+      this->post("/test/start" + At);
+      this->ServerBusy[G][S] = false;
+    });
+    return;
+  case 2:
+    this->note(absl::StrCat("server", At, " loses answers for ", For));
+    this->post(absl::StrCat("/test/server", At, "&lose=20&fail=0&extra=0"));
+    break;
+  default:
+    this->note(absl::StrCat("server", At, " fails and is slow for ", For));
+    this->post(absl::StrCat("/test/server", At, "&lose=0&fail=30&extra=60"));
+  }
+  this->later(For, [this, At, G, S] {
+    this->post(absl::StrCat("/test/server", At, "&lose=0&fail=0&extra=0"));
+    this->ServerBusy[G][S] = false;
+  });
+}
+
+void SoakSystem::faultOfStore(std::mt19937_64 &Random) {
+  int For = between(Random, 500, 4000);
+  switch (between(Random, 0, 5)) {
+  case 0:
+  case 1: {
+    std::lock_guard Lock(this->Mutex);
+    this->note("change the configuration");
+    this->post(absl::StrCat("/test/configure?extra=", this->Routes.size()));
+    this->Routes.push_back(absl::StrCat("extra-", this->Routes.size()));
+    return;
+  }
+  case 2:
+    this->note("the store forgets its history");
+    this->post("/test/forget");
+    return;
+  default:
+    std::string Mode = std::vector<std::string>{"down", "slow",
+                                                "lost"}[static_cast<size_t>(between(Random, 0, 2))];
+    this->note(absl::StrCat("store ", Mode, " for ", For));
+    this->post("/test/store?mode=" + Mode);
+    this->later(For, [this] { this->post("/test/store?mode=up"); });
+  }
+}
+
+void SoakSystem::heal() {
+  this->note("heal");
+  // A replacement that is under way has three steps, a termination takes its grace time.
+  while (!this->Pending.empty()) {
+    this->runDue(false);
+    std::this_thread::sleep_for(milliseconds(20));
+  }
+}
+
+} // namespace toucan::test
--- /dev/null
+++ b/tests/soak/system.h
@@ -0,0 +1,93 @@
+// The programs of one soak run as processes, and the faults that are injected from outside them.
+#ifndef TOUCAN_TESTS_SOAK_SYSTEM_H
+#define TOUCAN_TESTS_SOAK_SYSTEM_H
+
+#include "process.h"
+#include "relay.h"
+
+#include <atomic>
+#include <functional>
+#include <memory>
+#include <mutex>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace toucan::test {
+
+class Ledger;
+
+struct SoakSize {
+  size_t Daemons = 3;
+  size_t Groups = 2; // as standin-hosted starts them
+  size_t Servers = 3;
+};
+
+class SoakSystem {
+public:
+  SoakSystem(const std::string &Directory, uint64_t Seed, SoakSize Size, Ledger &Book);
+  ~SoakSystem();
+
+  // Port at which callers reach a daemon.
+  uint16_t callerPort(size_t Daemon) const { return this->Daemons[Daemon]->Front.port(); }
+  size_t daemons() const { return this->Daemons.size(); }
+  size_t groups() const { return this->Size.Groups; }
+  // Every daemon answers that it is ready.
+  bool allReady();
+  // Injects one random fault, which ends by itself; carries out what is due.
+  void step(std::mt19937_64 &Random);
+  // Ends all faults and brings everything back.
+  void heal();
+  // Text of a test path of the platform; empty if it does not answer.
+  std::string get(const std::string &Path) const;
+  // Names of routes that were added, oldest first.
+  std::vector<std::string> addedRoutes() const;
+  const std::vector<std::string> &history() const { return this->History; }
+
+private:
+  struct Daemon {
+    std::string Name;
+    std::string Settings; // path of its file
+    uint16_t ReadinessPort = 0;
+    uint16_t MetricsPort = 0;
+    Relay Front;
+    Relay Store;
+    uint16_t CallerPort = 0;
+    std::unique_ptr<Process> Runs;
+    int Starts = 0;
+    bool Stopping = false; // SIGTERM was sent
+    bool Suspended = false;
+  };
+  struct Due {
+    std::chrono::steady_clock::time_point At;
+    std::function<void()> Do;
+  };
+
+  void startDaemon(Daemon &D);
+  void post(const std::string &Path) const;
+  void later(int Ms, std::function<void()> Do);
+  void runDue(bool All);
+  void faultOfDaemon(std::mt19937_64 &Random);
+  void faultOfPath(std::mt19937_64 &Random);
+  void faultOfServer(std::mt19937_64 &Random);
+  void faultOfStore(std::mt19937_64 &Random);
+  void note(const std::string &What);
+
+  std::string Directory;
+  SoakSize Size;
+  Ledger &Book;
+  std::chrono::steady_clock::time_point Began;
+  std::unique_ptr<Process> Platform;
+  uint16_t PlatformPort = 0;
+  std::vector<std::unique_ptr<Daemon>> Daemons;
+  std::vector<std::vector<std::unique_ptr<Relay>>> Servers;
+  std::vector<std::vector<bool>> ServerBusy; // a fault of the server is under way
+  std::vector<Due> Pending;
+  std::vector<std::string> History;
+  mutable std::mutex Mutex; // guards Routes
+  std::vector<std::string> Routes;
+};
+
+} // namespace toucan::test
+
+#endif // TOUCAN_TESTS_SOAK_SYSTEM_H
