A primary whose writes are held up and lost is noticed; tests of the group sizes

An instance had paused the replicas for a change of primary and was stopped before the promotion. The primary lived, no replica received, and after 700 ms it ended the connection of each write. Only writes that the proxy itself gave up counted for the detector (cause writes_stalled), so that no instance began a change for the rest of the run. Change: a write or commit that ends without success after 400 ms or more counts as given up. Ruled out: ending the pauses by the instance that stops, since that order may be carried out late, in the middle of another instance's change. The soak waits now until the process has written its first line.

--- /dev/null
+++ b/scripts/soak.sh
@@ -0,0 +1,24 @@
+#!/usr/bin/env bash
+# Runs the soak with a range of seeds, several at a time. Usage: scripts/soak.sh FIRST LAST [SECONDS] [PARALLEL]
+# The build directory must be built. Logs of each seed and the list of results go to build/soak.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+first=${1:?first seed}
+last=${2:?last seed}
+seconds=${3:-15}
+parallel=${4:-3} # each run holds up to ten processes and about one core
+out=build/soak
+mkdir -p "$out"
+: >"$out/results"
+export seconds out
+run_one() {
+  local code=0
+  TOUCAN_SOAK_SEEDS="$1-$1" TOUCAN_SOAK_REGRESSION=0 TOUCAN_SOAK_SECONDS="$seconds" \
+    build/test_soak >"$out/$1.log" 2>&1 || code=$?
+  echo "$1 $code" >>"$out/results"
+}
+export -f run_one
+seq "$first" "$last" | xargs -P "$parallel" -I{} bash -c 'run_one {}'
+echo "$(awk '$2 == 0' "$out/results" | wc -l) passed, $(awk '$2 != 0' "$out/results" | wc -l) failed"
+awk '$2 != 0 { print "failed: seed " $1 }' "$out/results"
+! grep -q ' [^0]' "$out/results"
--- /dev/null
+++ b/src/gateway/groups_test.cpp
@@ -0,0 +1,95 @@
+// Sizes of groups in the store: written once for all instances, and settled before a change of
+// primary may rely on them.
+#include "gateway/groups.h"
+
+#include <doctest/doctest.h>
+
+using namespace toucan;
+using namespace toucan::gateway;
+
+namespace {
+
+const catalog::ServiceName Service("s");
+
+class CountingRows : public store::RowStore {
+public:
+  explicit CountingRows(Loop &InLoop) : InLoop(InLoop) {}
+  void readAll(const std::string &, std::function<void(store::ReadResult)> Done) override {
+    ++this->Reads;
+    store::ReadResult R{.Done = !this->Down, .Cause = this->Down ? "down" : ""};
+    if (!this->Down)
+      for (const auto &[Key, Row] : this->Table)
+        R.Rows.push_back(Row);
+    this->InLoop.post([Done, R] { Done(R); });
+  }
+  void write(const std::string &, const std::string &, store::RowVersion, const std::string &,
+             std::function<void(store::WriteResult)>) override {}
+  void overwrite(const std::string &, const std::string &Key, const std::string &Value,
+                 std::function<void(store::WriteResult)> Done) override {
+    ++this->Writes;
+    this->Table[Key] = {.Key = Key, .Value = Value, .Version = store::RowVersion(1)};
+    this->InLoop.post([Done] { Done({.Is = store::Written::Done}); });
+  }
+  Loop &InLoop;
+  bool Down = false;
+  int Reads = 0;
+  int Writes = 0;
+  std::map<std::string, store::Row> Table;
+};
+
+void runFor(Loop &InLoop, absl::Duration For) {
+  InLoop.at(InLoop.now() + For, [&] { InLoop.stop(); });
+  InLoop.run();
+}
+
+} // namespace
+
+// 36 instances wrote eight sizes each at every start, a tenth of all calls to the store.
+TEST_CASE("group sizes: the first instance writes them and the others find them") {
+  Loop InLoop;
+  CountingRows Rows(InLoop);
+  GroupSizes First(InLoop, Rows, absl::ZeroDuration());
+  GroupSizes Second(InLoop, Rows, absl::Milliseconds(300));
+  for (GroupSizes *G : {&First, &Second}) {
+    G->start();
+    for (uint32_t Count = 1; Count <= 3; ++Count)
+      G->onRegistered(Service, Count);
+    CHECK(G->size(Service) == 3);
+  }
+  runFor(InLoop, absl::Milliseconds(9000));
+  CHECK(Rows.Writes == 1);
+  CHECK(Rows.Table["s"].Value == "3");
+}
+
+// At the first start, all instances took a primary that had not registered yet for a lost one, and
+// claimed the change.
+TEST_CASE("group sizes: settled by the store, or when the first start is over") {
+  Loop InLoop;
+  CountingRows Rows(InLoop);
+  GroupSizes G(InLoop, Rows, absl::ZeroDuration());
+  G.start();
+  G.onRegistered(Service, 1);
+  runFor(InLoop, absl::Milliseconds(50));
+  CHECK_FALSE(G.settled(Service));
+  Rows.Table["s"] = {.Key = "s", .Value = "3", .Version = store::RowVersion(1)};
+  GroupSizes Restarted(InLoop, Rows, absl::ZeroDuration());
+  Restarted.start();
+  runFor(InLoop, absl::Milliseconds(50));
+  CHECK(Restarted.settled(Service));
+  CHECK(Restarted.size(Service) == 3);
+}
+
+TEST_CASE("group sizes: a store that is away is asked again, and nothing is settled before") {
+  Loop InLoop;
+  CountingRows Rows(InLoop);
+  Rows.Down = true;
+  Rows.Table["s"] = {.Key = "s", .Value = "3", .Version = store::RowVersion(1)};
+  GroupSizes G(InLoop, Rows, absl::ZeroDuration());
+  G.start();
+  runFor(InLoop, absl::Milliseconds(300));
+  CHECK_FALSE(G.settled(Service));
+  Rows.Down = false;
+  runFor(InLoop, absl::Milliseconds(1200));
+  CHECK(G.settled(Service));
+  CHECK(Rows.Reads == 2);
+}
--- a/src/gateway/session.cpp
+++ b/src/gateway/session.cpp
@@ -16,6 +16,9 @@
 constexpr int MaxFailures = 3;
 // Pause before a statement that the target refused as busy is sent to the same target again.
 constexpr absl::Duration BusyPause = absl::Milliseconds(15);
+// A write that ends without success after this time was held up at the target, as when no replica
+// receives; a lost connection or answer shows sooner.
+constexpr absl::Duration HeldUpWrite = absl::Milliseconds(400);
 // Added to the idle limit of transactions: the caller measures from when the answer reaches it.
 constexpr absl::Duration IdleMargin = absl::Milliseconds(150);
 
@@ -426,6 +429,9 @@
   Operation &O = *this->Op;
   --O.Sent;
   bool Read = O.Kind == OpKind::Read;
+  bool Unsure = !Reply || (Reply->Error && verdictOf(Reply->Error->Code) != Verdict::NotRun);
+  if (!Read && Unsure && Now - AskedAt >= HeldUpWrite)
+    Pool->onWriteGivenUp();
   if (!Reply) {
     Pool->record().onFailure(Now);
     ++O.Failures;
@@ -587,6 +593,9 @@
   bool Commit = O.Kind == OpKind::Commit;
   TargetPool *Pool = this->Tx.Pool;
   ServiceRouter *Router = this->Given.Host.router(O.Route.Service);
+  bool Unsure = !Reply || (Reply->Error && verdictOf(Reply->Error->Code) != Verdict::NotRun);
+  if (Commit && this->Tx.Wrote && Unsure && Now - AskedAt >= HeldUpWrite)
+    Pool->onWriteGivenUp();
   if (!Reply) {
     Pool->record().onFailure(Now);
     bool Kept = Commit && this->Tx.Wrote;
--- a/tests/soak/soak_test.cpp
+++ b/tests/soak/soak_test.cpp
@@ -1,7 +1,8 @@
 // Randomized soak of toucanrund-hosted: the real programs as processes, faults from outside them,
 // and the promises checked from what callers and servers see.
 //
-// TOUCAN_SOAK_SEEDS="FIRST-LAST" and TOUCAN_SOAK_SECONDS set another range and length.
+// TOUCAN_SOAK_SEEDS="FIRST-LAST" and TOUCAN_SOAK_SECONDS set another range and length;
+// TOUCAN_SOAK_REGRESSION=0 leaves out the seeds that once failed.
 #include "ledger.h"
 #include "standin/client.h"
 #include "system.h"
@@ -30,7 +31,12 @@
 // Bounded age of the aged route, and the time that the answer takes to reach its caller.
 constexpr milliseconds MaxAge{1500};
 // Seeds that ever failed stay here, each with a line on the cause.
-const std::vector<uint64_t> RegressionSeeds = {};
+const std::vector<uint64_t> RegressionSeeds = {
+    21, // the harness: SIGTERM before the process had its handlers
+    41, // replicas stayed paused after the instance that changed the primary was stopped
+    46, // as 41, in the other group
+    55, // as 21
+};
 
 uint64_t setting(const char *Name, uint64_t Default) {
   const char *Text = std::getenv(Name);
@@ -224,19 +230,15 @@
   size_t Successes = 0;
 };
 
-// An accepted configuration never reverts: a route that a process has served stays known to it.
-class RouteWatch {
-public:
-  void check(SoakSystem &System, Ledger &Book, bool All) {
-    for (const std::string &Route : System.addedRoutes())
-      for (size_t D = 0; D < System.daemons(); ++D) {
-        LineClient Line;
-        bool Open = Line.open(System.callerPort(D), Route);
-        if (!Open && All && Line.refusal() == "NODB")
-          Book.violation(absl::StrCat("daemon", D, " does not know ", Route, " at the end"));
-      }
-  }
-};
+// An accepted configuration never reverts: all daemons know all routes that were added.
+void checkRoutes(SoakSystem &System, Ledger &Book) {
+  for (const std::string &Route : System.addedRoutes())
+    for (size_t D = 0; D < System.daemons(); ++D) {
+      LineClient Line;
+      if (!Line.open(System.callerPort(D), Route) && Line.refusal() == "NODB")
+        Book.violation(absl::StrCat("daemon", D, " does not know ", Route, " at the end"));
+    }
+}
 
 void runSeed(uint64_t Seed, int Seconds) {
   CAPTURE(Seed);
@@ -275,7 +277,7 @@
   Stop = true;
   for (std::thread &T : Threads)
     T.join();
-  RouteWatch().check(System, Book, true);
+  checkRoutes(System, Book);
   for (size_t G = 0; G < System.groups(); ++G)
     Book.checkLog(G, System.get(absl::StrCat("/test/log?group=", G)));
   CHECK(System.get("/test/violations") == "");
@@ -285,7 +287,7 @@
   CHECK(Found == "");
   CHECK(Successes > 100);
   std::ofstream(Directory.file("faults")) << absl::StrJoin(System.history(), "\n") << "\n";
-  MESSAGE("seed " << Seed << ": " << Successes << " operations, " << Book.acknowledgedCount()
+  MESSAGE("seed " << Seed << ": " << Successes.load() << " operations, " << Book.acknowledgedCount()
                   << " acknowledged writes, " << System.history().size() << " faults");
 }
 
@@ -299,8 +301,9 @@
   REQUIRE(absl::SimpleAtoi(Ends.front(), &First));
   REQUIRE(absl::SimpleAtoi(Ends.back(), &LastSeed));
   int Seconds = static_cast<int>(setting("TOUCAN_SOAK_SECONDS", DefaultSeconds));
-  for (uint64_t Seed : RegressionSeeds)
-    runSeed(Seed, Seconds);
+  if (setting("TOUCAN_SOAK_REGRESSION", 1) > 0)
+    for (uint64_t Seed : RegressionSeeds)
+      runSeed(Seed, Seconds);
   for (uint64_t Seed = First; Seed <= LastSeed; ++Seed)
     runSeed(Seed, Seconds);
 }
--- a/tests/soak/system.cpp
+++ b/tests/soak/system.cpp
@@ -5,6 +5,7 @@
 
 #include "absl/strings/str_cat.h"
 
+#include <doctest/doctest.h>
 #include <httplib.h>
 #include <netinet/in.h>
 #include <sys/socket.h>
@@ -12,6 +13,7 @@
 
 #include <algorithm>
 #include <csignal>
+#include <filesystem>
 #include <fstream>
 #include <thread>
 
@@ -31,8 +33,8 @@
   At.sin_family = AF_INET;
   At.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
   socklen_t Length = sizeof At;
-  ::bind(Fd, reinterpret_cast<sockaddr *>(&At), Length);
-  ::getsockname(Fd, reinterpret_cast<sockaddr *>(&At), &Length);
+  REQUIRE(::bind(Fd, reinterpret_cast<sockaddr *>(&At), Length) == 0);
+  REQUIRE(::getsockname(Fd, reinterpret_cast<sockaddr *>(&At), &Length) == 0);
   ::close(Fd);
   return ntohs(At.sin_port);
 }
@@ -84,8 +86,8 @@
   // The processes of one run are started by one thread.
   ::setenv("TOUCANRUN_CONFIG", D.Settings.c_str(), 1);
   ::setenv("TOUCANRUN_METRICS_PORT", std::to_string(D.MetricsPort).c_str(), 1);
-  D.Runs = std::make_unique<Process>("toucanrund-hosted", std::vector<std::string>{},
-                                     absl::StrCat(this->Directory, "/", D.Name, "-", D.Starts++));
+  D.LogPrefix = absl::StrCat(this->Directory, "/", D.Name, "-", D.Starts++);
+  D.Runs = std::make_unique<Process>("toucanrund-hosted", std::vector<std::string>{}, D.LogPrefix);
   D.Stopping = false;
   D.Suspended = false;
 }
@@ -160,7 +162,10 @@
 void SoakSystem::faultOfDaemon(std::mt19937_64 &Random) {
   Daemon &D = *this->Daemons[static_cast<size_t>(
       between(Random, 0, static_cast<int>(this->Daemons.size()) - 1))];
-  if (!D.Runs || D.Stopping || D.Suspended)
+  // Before it has handlers for signals, a process that is told to stop ends with the signal's code.
+  bool Started = D.Runs && std::filesystem::exists(D.LogPrefix + ".out") &&
+                 std::filesystem::file_size(D.LogPrefix + ".out") > 0;
+  if (!Started || D.Stopping || D.Suspended)
     return;
   int For = between(Random, 200, 3000);
   switch (between(Random, 0, 3)) {
--- a/tests/soak/system.h
+++ b/tests/soak/system.h
@@ -47,7 +47,8 @@
 private:
   struct Daemon {
     std::string Name;
-    std::string Settings; // path of its file
+    std::string Settings;  // path of its file
+    std::string LogPrefix; // of the files with its output
     uint16_t ReadinessPort = 0;
     uint16_t MetricsPort = 0;
     Relay Front;
