--- a/src/gateway/groups_test.cpp
+++ b/src/gateway/groups_test.cpp
@@ -66,17 +66,23 @@
 TEST_CASE("group sizes: settled by the store, or when the first start is over") {
   Loop InLoop;
   CountingRows Rows(InLoop);
-  GroupSizes G(InLoop, Rows, absl::ZeroDuration());
+  GroupSizes G(InLoop, Rows, absl::Seconds(60));
   G.start();
   G.onRegistered(Service, 1);
-  runFor(InLoop, absl::Milliseconds(50));
-  CHECK_FALSE(G.settled(Service));
-  Rows.Table["s"] = {.Key = "s", .Value = "3", .Version = store::RowVersion(1)};
-  GroupSizes Restarted(InLoop, Rows, absl::ZeroDuration());
-  Restarted.start();
-  runFor(InLoop, absl::Milliseconds(50));
-  CHECK(Restarted.settled(Service));
-  CHECK(Restarted.size(Service) == 3);
+  GroupSizes Restarted(InLoop, Rows, absl::Seconds(60));
+  Instant Began = InLoop.now();
+  InLoop.at(Began + absl::Milliseconds(50), [&] {
+    CHECK_FALSE(G.settled(Service));
+    Rows.Table["s"] = {.Key = "s", .Value = "3", .Version = store::RowVersion(1)};
+    Restarted.start();
+  });
+  InLoop.at(Began + absl::Milliseconds(100), [&] {
+    CHECK_FALSE(G.settled(Service));
+    CHECK(Restarted.settled(Service));
+    CHECK(Restarted.size(Service) == 3);
+  });
+  runFor(InLoop, absl::Milliseconds(8200));
+  CHECK(G.settled(Service));
 }
 
 TEST_CASE("group sizes: a store that is away is asked again, and nothing is settled before") {
@@ -86,10 +92,11 @@
   Rows.Table["s"] = {.Key = "s", .Value = "3", .Version = store::RowVersion(1)};
   GroupSizes G(InLoop, Rows, absl::ZeroDuration());
   G.start();
-  runFor(InLoop, absl::Milliseconds(300));
-  CHECK_FALSE(G.settled(Service));
-  Rows.Down = false;
-  runFor(InLoop, absl::Milliseconds(1200));
+  InLoop.at(InLoop.now() + absl::Milliseconds(300), [&] {
+    CHECK_FALSE(G.settled(Service));
+    Rows.Down = false;
+  });
+  runFor(InLoop, absl::Milliseconds(1500));
   CHECK(G.settled(Service));
   CHECK(Rows.Reads == 2);
 }
