--- a/src/gateway/instances.cpp
+++ b/src/gateway/instances.cpp
@@ -14,7 +14,6 @@
 constexpr absl::Duration FirstRead = absl::Milliseconds(1500);
 constexpr absl::Duration RenewInterval = absl::Milliseconds(InstanceRenewMs);
 constexpr absl::Duration RetryInterval = absl::Seconds(2);
-constexpr absl::Duration RefreshInterval = absl::Seconds(3);
 
 } // namespace
 
@@ -61,7 +60,6 @@
   if (this->Left)
     return;
   bool First = this->StoreMs == 0;
-  this->NextRefresh = this->InLoop.now() + RefreshInterval;
   this->Rows.readAll(InstanceTable, [this, First](const store::ReadResult &R) {
     if (!R.Done) {
       LogEvent(LogLevel::Warn, "instances_not_read").kv("cause", R.Cause);
@@ -83,19 +81,6 @@
   });
 }
 
-void InstanceRegistry::refreshSoon() {
-  if (this->StoreMs == 0 || this->InLoop.now() < this->NextRefresh)
-    return;
-  this->NextRefresh = this->InLoop.now() + RefreshInterval;
-  this->Rows.readAll(InstanceTable, [this](const store::ReadResult &R) {
-    if (!R.Done)
-      return;
-    this->Alive = countAlive(R.Rows, R.StoreMs);
-    if (this->OnCount)
-      this->OnCount(this->Alive);
-  });
-}
-
 void InstanceRegistry::leave() {
   this->Left = true;
   this->Rows.overwrite(InstanceTable, this->Self.Value, encodeRenewal(0),
--- a/src/gateway/instances.h
+++ b/src/gateway/instances.h
@@ -27,8 +27,6 @@
   InstanceRegistry(Loop &InLoop, store::RowStore &Rows, InstanceId Self);
 
   void start();
-  // A target refused a connection: others may have joined.
-  void refreshSoon();
   // Writes that this instance is gone.
   void leave();
   size_t alive() const { return this->Alive; }
@@ -47,7 +45,6 @@
   size_t Alive = 1;
   int64_t StoreMs = 0;
   Instant StoreMsAt;
-  Instant NextRefresh = absl::InfinitePast();
   bool Left = false;
 };
 
