--- a/platform/standin/group.cpp
+++ b/standin/hosted/group.cpp
@@ -1,4 +1,4 @@
-#include "standin/group.h"
+#include "standin/hosted/group.h"
 
 #include <algorithm>
 #include <chrono>
--- a/platform/standin/group.h
+++ b/standin/hosted/group.h
@@ -1,8 +1,8 @@
 // A replicated database: a log of numbered commits at each server, terms, replication, promotion.
 // It notes what would break a promise: an acknowledged commit that a promotion loses, a statement
 // that is committed twice.
-#ifndef TOUCAN_PLATFORM_STANDIN_GROUP_H
-#define TOUCAN_PLATFORM_STANDIN_GROUP_H
+#ifndef TOUCAN_STANDIN_HOSTED_GROUP_H
+#define TOUCAN_STANDIN_HOSTED_GROUP_H
 
 #include <condition_variable>
 #include <cstdint>
@@ -96,4 +96,4 @@
 
 } // namespace toucan::standin
 
-#endif // TOUCAN_PLATFORM_STANDIN_GROUP_H
+#endif // TOUCAN_STANDIN_HOSTED_GROUP_H
