--- a/src/placement/connections.h
+++ b/src/placement/connections.h
@@ -17,8 +17,7 @@
 // one, which a single transaction holds for its whole length. Load pattern: a crest at many
 // instances whose shares are one connection. At a primary, which all instances need, it borrows by
 // lot, so that about as many borrow at a time as the shares leave: with 46 connections for 35
-// instances, fifteen that held two each kept others from the primary for 25 s. A target that
-// refuses a connection shows that nothing is left, or that the shares are not in force yet, as
+// instances, a third of them that hold two leave others without any. A target that refuses a connection shows that nothing is left, or that the shares are not in force yet, as
 // after instances were killed or added.
 class ConnectionLimit {
 public:
@@ -31,7 +30,7 @@
   void onRefused(Instant Now);
   // The target became the primary: every instance needs its share there now, and nothing is
   // borrowed until all have had time to connect. Load pattern: a replica is promoted at a crest;
-  // the instances near it held two connections each and kept twelve others without any for 8 s.
+  // the instances near it hold two connections each, and others get none for seconds.
   void onPromoted(Instant Now);
   // The target does not lead any more.
   void onDemoted() { this->Contended = false; }
--- a/src/placement/placement_test.cpp
+++ b/src/placement/placement_test.cpp
@@ -241,7 +241,7 @@
 }
 
 // Load: a replica near some instances is promoted at a crest. Instances that had borrowed there
-// kept their second connection, and twelve of 35 had none for 8 s.
+// kept their second connection, and the new primary refused connections of others for 8 s.
 TEST_CASE("connections: nothing is borrowed at a target that has just been promoted") {
   ConnectionLimit L(at(0), 1);
   L.set(12, 2); // five each, two left
@@ -252,8 +252,8 @@
   CHECK(L.borrowed(at(15100)) == 6);
 }
 
-// Load: a crest at a primary with 46 connections for 35 instances. Fifteen instances held two
-// connections each, and others had none for 25 s.
+// Load: a crest at a primary with 46 connections for 35 instances. With a second connection at a
+// third of them none is left for the others.
 TEST_CASE("connections: instances borrow at a primary by lot, about as many as the shares leave") {
   constexpr size_t Instances = 35;
   constexpr uint32_t Limit = 46;
