--- a/src/placement/connections.h
+++ b/src/placement/connections.h
@@ -17,8 +17,9 @@
 // one, which a single transaction holds for its whole length. Load pattern: a crest at many
 // instances whose shares are one connection. At a primary, which all instances need, it borrows by
 // lot, so that about as many borrow at a time as the shares leave: with 46 connections for 35
-// instances, a third of them that hold two leave others without any. A target that refuses a connection shows that nothing is left, or that the shares are not in force yet, as
-// after instances were killed or added.
+// instances, a third of them that hold two leave others without any. A target that refuses a
+// connection shows that nothing is left, or that the shares are not in force yet, as after
+// instances were killed or added.
 class ConnectionLimit {
 public:
   // No borrowing before BorrowFrom: after a start all instances need their shares at once. Seed
