--- a/scripts/soak.sh
+++ b/scripts/soak.sh
@@ -1,6 +1,6 @@
 #!/usr/bin/env bash
 # Runs the soak with a range of seeds, several at a time. Usage: scripts/soak.sh FIRST LAST [SECONDS] [PARALLEL]
-# The build directory must be built. Logs of each seed and the list of results go to build/soak.
+# The build directory must be built, and nothing may build in it meanwhile. Logs of each seed and the list of results go to build/soak.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 first=${1:?first seed}
