--- a/src/wire/wire_test.cpp
+++ b/src/wire/wire_test.cpp
@@ -10,7 +10,7 @@
 
 // Guards against messages that are lost or truncated when a read ends inside of them.
 TEST_CASE("messages that arrive byte by byte are decoded") {
-  std::string Stream = query("select 1") + sync() + readyForQuery('I');
+  std::string Stream = query("select 1") + toucan::wire::sync() + readyForQuery('I');
   FrameReader Reader(Limit);
   std::string Types;
   for (char Byte : Stream) {
