Evidence that a primary had not been replaced, from the terms of the other targets

Change: placement::LeadEvidence combines positions of the primary with the terms that the witnesses report: all but syncReplicas targets, the primary among them, must have been in its term or an older one after the read arrived. The codec encodes STEPDOWN. Nothing uses the evidence yet.

--- a/src/placement/freshness.cpp
+++ b/src/placement/freshness.cpp
@@ -33,8 +33,12 @@
     this->Samples.pop_front();
 }
 
+Instant oldestCovered(Instant Now, absl::Duration MaxAge) {
+  return Now - std::max(MaxAge - AgeMargin, absl::ZeroDuration());
+}
+
 std::optional<LogPosition> PositionHistory::floor(Instant Now, absl::Duration MaxAge) const {
-  Instant Oldest = Now - std::max(MaxAge - AgeMargin, absl::ZeroDuration());
+  Instant Oldest = oldestCovered(Now, MaxAge);
   auto It = std::lower_bound(this->Samples.begin(), this->Samples.end(), Oldest,
                              [](const Sample &S, Instant T) { return S.SentAt < T; });
   if (It == this->Samples.end())
--- a/src/placement/freshness.h
+++ b/src/placement/freshness.h
@@ -40,6 +40,10 @@
   LogPosition TermStart;      // first position seen in the newest term
 };
 
+// Commits acknowledged before the time returned must be visible to a read that arrives at Now and
+// may see data of age MaxAge.
+Instant oldestCovered(Instant Now, absl::Duration MaxAge);
+
 } // namespace toucan::placement
 
 #endif // TOUCAN_PLACEMENT_FRESHNESS_H
--- a/src/placement/placement.h
+++ b/src/placement/placement.h
@@ -6,6 +6,7 @@
 #include "placement/choose.h"
 #include "placement/connections.h"
 #include "placement/freshness.h"
+#include "placement/lead.h"
 #include "placement/queue.h"
 
 #endif // TOUCAN_PLACEMENT_PLACEMENT_H
--- a/src/statement/statement.h
+++ b/src/statement/statement.h
@@ -87,6 +87,7 @@
   Prepare,      // prepares a statement under a name chosen by the proxy
   Status,       // requests role, term and positions
   Pause,        // a replica stops receiving the log of terms below the one given
+  StepDown,     // a primary of a term below the one given becomes a replica
 };
 
 // One request to a target. Fields that a command does not use stay empty.
@@ -98,7 +99,7 @@
   std::string Value;                           // Set: value; Prepare: shape
   bool PreparedWrites = false;                 // Prepare: true if the prepared statement writes
   std::optional<LogPosition> RequiredPosition; // Statement, BeginRead: refuse if the log lacks it
-  Term PauseTerm;                              // Pause: log of terms below it is not received
+  Term InTerm;                                 // Pause, StepDown: the term given
 };
 
 // State that a target reports about itself.
