--- a/src/gateway/prover.cpp
+++ b/src/gateway/prover.cpp
@@ -17,6 +17,9 @@
 // A target that did not answer, or refused as busy, is asked only if no other is left.
 constexpr absl::Duration FailurePause = absl::Seconds(1);
 
+// Interval of the queries for the term of a primary. A query takes a slot of the target.
+constexpr absl::Duration LeaderAskInterval = absl::Milliseconds(50);
+
 constexpr std::array<std::string_view, 3> ProofNames = {"proven", "superseded", "unproven"};
 
 } // namespace
@@ -120,8 +123,10 @@
 }
 
 void LeadProver::askLeader(TargetPool &Pool) {
-  if (!this->Inquiries[Pool.entry().Id].InFlight)
-    this->askTarget(Pool, monotonicNow());
+  const Inquiry &Last = this->Inquiries[Pool.entry().Id];
+  Instant Now = monotonicNow();
+  if (!Last.InFlight && Now >= Last.SentAt + LeaderAskInterval)
+    this->askTarget(Pool, Now);
 }
 
 void LeadProver::prove(const placement::Lead &L, Instant Since, Instant Deadline, Handler Done) {
