--- a/src/catalog/targets.h
+++ b/src/catalog/targets.h
@@ -24,10 +24,12 @@
   int64_t StartedUnixMs = 0; // distinguishes two runs with the same id
 };
 
-// A registration as read from the directory. Entry is empty if the registration is unreadable.
+// A registration as read from the directory. Entry is empty if the registration is unreadable;
+// Problem then tells why.
 struct Registration {
   TargetId Id;
   std::optional<TargetEntry> Entry;
+  std::string Problem;
 };
 
 struct TargetChange {
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -120,19 +120,39 @@
 }
 
 void Gateway::onTarget(const catalog::Registration &R) {
-  if (!R.Entry)
-    LogEvent(LogLevel::Warn, "target_unreadable").kv("target", R.Id.Value);
+  this->noteReadability(R);
   if (std::optional<catalog::TargetChange> Change =
           this->Targets.onRegistrationWritten(R, this->InLoop.now()))
     this->applyChange(*Change);
 }
 
+// Logs and counts an unreadable registration once, not at each of its writes.
+void Gateway::noteReadability(const catalog::Registration &R) {
+  if (R.Entry) {
+    this->Unreadable.erase(R.Id);
+    return;
+  }
+  std::string &Known = this->Unreadable[R.Id];
+  if (Known == R.Problem)
+    return;
+  Known = R.Problem;
+  this->Counters.add("targets_unreadable");
+  LogEvent(LogLevel::Warn, "target_unreadable").kv("target", R.Id.Value).kv("cause", R.Problem);
+}
+
 void Gateway::onTargetVanished(const TargetId &Id) {
+  this->Unreadable.erase(Id);
   LogEvent(LogLevel::Info, "target_vanished").kv("target", Id.Value);
   this->Targets.onRegistrationVanished(Id, this->InLoop.now());
 }
 
 void Gateway::onTargetList(const std::vector<catalog::Registration> &Registrations) {
+  auto Former = std::exchange(this->Unreadable, {});
+  for (const catalog::Registration &R : Registrations) {
+    if (auto It = Former.find(R.Id); It != Former.end())
+      this->Unreadable.insert(*It);
+    this->noteReadability(R);
+  }
   for (const catalog::TargetChange &Change :
        this->Targets.onFullList(Registrations, this->InLoop.now()))
     this->applyChange(Change);
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -78,6 +78,7 @@
   void remove(SessionId Id);
   void tick();
   void applyChange(const catalog::TargetChange &Change);
+  void noteReadability(const catalog::Registration &R);
   ServiceState &service(const catalog::ServiceName &Name);
   void updateReadiness();
   void updateGroupSize(const catalog::ServiceName &Service);
@@ -96,6 +97,7 @@
   Promoter &Promotions;
   std::map<catalog::ServiceName, ServiceState> Services;
   std::map<TargetId, catalog::ServiceName> ServiceOf;
+  std::map<TargetId, std::string> Unreadable; // targets whose registration is unreadable, and why
   absl::flat_hash_map<SessionId, std::unique_ptr<Caller>> Callers;
   RequestLog Log;
   int ListenFd = -1;
--- a/src/gateway/socket.cpp
+++ b/src/gateway/socket.cpp
@@ -50,6 +50,10 @@
   return std::pair(Address.substr(0, Colon), static_cast<uint16_t>(Port));
 }
 
+bool isSocketAddress(const std::string &Address) {
+  return static_cast<bool>(capture([&] { return resolve(Address); }));
+}
+
 void setSocketOptions(int Fd) {
   int Enable = 1;
   setsockopt(Fd, IPPROTO_TCP, TCP_NODELAY, &Enable, sizeof Enable);
--- a/src/gateway/socket.h
+++ b/src/gateway/socket.h
@@ -13,6 +13,8 @@
 
 // Splits IP:PORT at the last colon. Empty if the port is not a number from 1 to 65535.
 std::optional<std::pair<std::string, uint16_t>> splitAddress(const std::string &Address);
+// Whether connectTo() can use the address: an IPv4 address and a port.
+bool isSocketAddress(const std::string &Address);
 // Starts a connection. The socket becomes writable once it is connected or the attempt has failed.
 Result<int> connectTo(const std::string &Address);
 Result<int> listenOn(const std::string &Address);
