Notice a primary that goes silent while it owes an older answer

Cause: an answer that arrives while others are owed set the time of the last answer and the time since which answers are owed to the same value, and the comparison of the two then found nothing owed: no probe was sent, the target stayed in use, and its silence was not diagnosed. Change: the time since which answers are owed decides alone. A connection that is closed because its answer is overdue does not clear it: the next probe tells whether the target lives.

--- a/src/gateway/pool.cpp
+++ b/src/gateway/pool.cpp
@@ -242,16 +242,15 @@
 }
 
 bool TargetPool::isUnresponsive() const {
-  return this->Health.LastAnswer < this->Health.UnansweredSince &&
-         this->InLoop.now() - this->Health.UnansweredSince >= SuspectAfter;
+  return this->InLoop.now() - this->Health.UnansweredSince >= SuspectAfter;
 }
 
 // Sends a request that needs no slot to a target that owes answers. A busy target answers it at
 // once, so a missing answer means that the target is down.
 void TargetPool::probe() {
   Instant Now = this->InLoop.now();
-  if (this->Retiring || this->Health.LastAnswer >= this->Health.UnansweredSince ||
-      Now - this->Health.UnansweredSince < ProbeAfter || Now - this->ProbedAt < ProbeInterval)
+  if (this->Retiring || Now - this->Health.UnansweredSince < ProbeAfter ||
+      Now - this->ProbedAt < ProbeInterval)
     return;
   this->ProbedAt = Now;
   this->Counters.add("targets_probed");
@@ -381,11 +380,6 @@
       this->destroyLater(std::move(Taken));
     }
   }
-  bool AnswerOwed = std::any_of(this->Links.begin(), this->Links.end(), [](const auto &L) {
-    return L->pending() > 0 || L->phase() != TargetLink::Phase::Open;
-  });
-  if (!AnswerOwed && this->Health.LastAnswer >= this->Health.UnansweredSince)
-    this->Health.UnansweredSince = absl::InfiniteFuture();
   this->Owner.onPoolReady(*this);
 }
 
--- a/src/promotion/detector.h
+++ b/src/promotion/detector.h
@@ -19,8 +19,10 @@
   bool PrimaryKnown = false;                     // a registered target is known to be primary
   Instant LeavingSince = absl::InfiniteFuture(); // when the primary announced its exit
   Instant PrimaryUnknownSince = absl::InfiniteFuture();
-  Instant LastAnswer = absl::InfinitePast();        // last answer to any request
-  Instant UnansweredSince = absl::InfiniteFuture(); // oldest request sent after the last answer
+  Instant LastAnswer = absl::InfinitePast(); // last answer to any request
+  // When the last answer came, if others were owed then; otherwise when the oldest request since
+  // was sent. Infinite future if no answer is owed.
+  Instant UnansweredSince = absl::InfiniteFuture();
   Instant UnreachableSince =
       absl::InfiniteFuture(); // first failed connection since the last answer
   int FailedConnections = 0;  // since the last answer
