An instance that is cut off with a primary asks for no new callers

Change: an instance is not ready while, for some service, the primary is known but for 0.7 s too few other targets answer to prove that it was not replaced (readiness.h, a pure decision). The log line not_ready names it.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -202,10 +202,18 @@
   this->Groups.onRegisteredCount(Service, Count);
 }
 
-bool Gateway::ready() const {
-  return this->Routes.hasConfiguration() && this->TargetsKnown && !this->Draining;
+ReadinessInputs Gateway::readinessInputs() const {
+  ReadinessInputs Out{.ConfigurationKnown = this->Routes.hasConfiguration(),
+                      .TargetsKnown = this->TargetsKnown,
+                      .Draining = this->Draining};
+  for (const auto &[Name, S] : this->Services)
+    Out.WitnessesMissingSince =
+        std::min(Out.WitnessesMissingSince, S.Router->prover().witnessesMissingSince());
+  return Out;
 }
 
+bool Gateway::ready() const { return acceptsCallers(this->readinessInputs(), this->InLoop.now()); }
+
 void Gateway::updateReadiness() {
   bool NowReady = this->ready();
   if (NowReady == this->Ready)
@@ -214,7 +222,8 @@
   LogEvent(LogLevel::Info, NowReady ? "ready" : "not_ready")
       .kv("configuration_known", this->Routes.hasConfiguration())
       .kv("targets_known", this->TargetsKnown)
-      .kv("draining", this->Draining);
+      .kv("draining", this->Draining)
+      .kv("cut_off_with_primary", cutOffWithPrimary(this->readinessInputs(), this->InLoop.now()));
   if (this->OnReadinessChange)
     this->OnReadinessChange(NowReady);
 }
@@ -237,6 +246,7 @@
     if (!this->Draining && this->Groups.settled(Name))
       S.Changes->tick();
   }
+  this->updateReadiness();
   if (this->Draining)
     this->continueDrain();
   this->InLoop.at(Now + TickInterval, [this] { this->tick(); });
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -7,6 +7,7 @@
 #include "gateway/codec.h"
 #include "gateway/groups.h"
 #include "gateway/instances.h"
+#include "gateway/readiness.h"
 #include "gateway/router.h"
 #include "gateway/session.h"
 
@@ -80,6 +81,7 @@
   void applyChange(const catalog::TargetChange &Change);
   void noteReadability(const catalog::Registration &R);
   ServiceState &service(const catalog::ServiceName &Name);
+  ReadinessInputs readinessInputs() const;
   void updateReadiness();
   void updateGroupSize(const catalog::ServiceName &Service);
   void continueDrain();
--- a/src/gateway/prover.cpp
+++ b/src/gateway/prover.cpp
@@ -42,6 +42,7 @@
   std::stable_sort(Ranked.begin(), Ranked.end(),
                    [](const auto &A, const auto &B) { return A.first < B.first; });
   std::vector<TargetPool *> Out;
+  Out.reserve(Ranked.size());
   for (const auto &[Rank, P] : Ranked)
     Out.push_back(P);
   return Out;
@@ -159,6 +160,9 @@
 
 void LeadProver::tick() {
   Instant Now = this->InLoop.now();
+  bool Missing = this->Router.primary() && !this->enoughWitnesses();
+  this->WitnessesMissingSince =
+      Missing ? std::min(this->WitnessesMissingSince, Now) : absl::InfiniteFuture();
   // The log of a new primary does not tell its term before the first commit.
   if (TargetPool *P = this->Router.primary(); P && !P->leadTermKnown() && P->hasQueryLink())
     this->askLeader(*P);
--- a/src/gateway/prover.h
+++ b/src/gateway/prover.h
@@ -40,6 +40,8 @@
   void prove(const placement::Lead &L, Instant Since, Instant Deadline, Handler Done);
   // Whether as many targets as needed can be asked.
   bool enoughWitnesses() const;
+  // Since when the primary is known but too few other targets answer; infinite future otherwise.
+  Instant witnessesMissingSince() const { return this->WitnessesMissingSince; }
   // Asks further targets for overdue proofs and ends proofs whose deadline has passed.
   void tick();
   // Ends the proofs that can be decided now. Called after new evidence.
@@ -72,6 +74,7 @@
   ServiceRouter &Router;
   std::map<TargetId, Inquiry> Inquiries;
   std::vector<PendingProof> Pending;
+  Instant WitnessesMissingSince = absl::InfiniteFuture();
 };
 
 } // namespace toucan::gateway
