--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -219,7 +219,6 @@
   if (NowReady == this->Ready)
     return;
   this->Ready = NowReady;
-  this->NotReadySince = NowReady ? absl::InfiniteFuture() : this->InLoop.now();
   LogEvent(LogLevel::Info, NowReady ? "ready" : "not_ready")
       .kv("configuration_known", this->Routes.hasConfiguration())
       .kv("targets_known", this->TargetsKnown)
@@ -229,28 +228,6 @@
     this->OnReadinessChange(NowReady);
 }
 
-// Closes the connections of callers whose last statement was refused because this instance is cut
-// off with the primary. They connect again, and the platform sends them to an instance that is
-// ready, once it has noticed that this one is not.
-void Gateway::closeCutOffCallers() {
-  Instant Now = this->InLoop.now();
-  if (Now < this->NotReadySince + BalancerNoticeDelay ||
-      !cutOffWithPrimary(this->readinessInputs(), Now))
-    return;
-  std::vector<SessionId> Refused;
-  for (auto &[Id, C] : this->Callers)
-    if (C->CallerSession->refusedForWitness() && quiet(*C))
-      Refused.push_back(Id);
-  for (SessionId Id : Refused)
-    this->remove(Id);
-  this->Counters.add("callers_moved", Refused.size());
-}
-
-// Whether nothing of the caller is being processed, read or sent.
-bool Gateway::quiet(const Caller &C) {
-  return C.CallerSession->idle() && C.CallerSession->buffered() == 0 && C.Unsent.empty();
-}
-
 void Gateway::tick() {
   Instant Now = this->InLoop.now();
   if (Now - this->LastTick > StallLimit) {
@@ -270,7 +247,6 @@
       S.Changes->tick();
   }
   this->updateReadiness();
-  this->closeCutOffCallers();
   if (this->Draining)
     this->continueDrain();
   this->InLoop.at(Now + TickInterval, [this] { this->tick(); });
@@ -414,7 +390,7 @@
   for (auto &[Id, C] : this->Callers) {
     if (Now >= this->TransactionDeadline)
       C->CallerSession->abortIdleTransaction("shutdown");
-    if (quiet(*C))
+    if (C->CallerSession->idle() && C->CallerSession->buffered() == 0 && C->Unsent.empty())
       Idle.push_back(Id);
   }
   for (SessionId Id : Idle)
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -83,8 +83,6 @@
   ServiceState &service(const catalog::ServiceName &Name);
   ReadinessInputs readinessInputs() const;
   void updateReadiness();
-  void closeCutOffCallers();
-  static bool quiet(const Caller &C);
   void updateGroupSize(const catalog::ServiceName &Service);
   void continueDrain();
 
@@ -95,7 +93,6 @@
   catalog::RouteTable Routes;
   catalog::TargetDirectory Targets;
   bool TargetsKnown = false;
-  Instant NotReadySince = absl::InfinitePast();
   InstanceRegistry Instances;
   GroupSizes Groups;
   promotion::Claimer Claims;
--- a/src/gateway/session.cpp
+++ b/src/gateway/session.cpp
@@ -255,7 +255,6 @@
   this->Op->Queued.reset();
   if (this->Op->AttemptsInFlight > 0)
     return; // the second attempt was rejected, but the first one may still be answered
-  this->RefusedForWitness = R == Rejection::NoWitness;
   this->finishNotServed(rejectionName(R));
 }
 
@@ -573,7 +572,6 @@
     this->Deps.Counters.add(counterName("statements_failed_", errorName(Reply.Error->Code)));
   } else {
     this->Deps.Counters.latency("statement", monotonicNow() - this->Op->Arrived);
-    this->RefusedForWitness = false;
   }
   this->clearOperation();
   Reply.State = this->reportedState();
--- a/src/gateway/session.h
+++ b/src/gateway/session.h
@@ -50,8 +50,6 @@
   // Rolls back an open transaction if no statement of it is running.
   void abortIdleTransaction(std::string_view Cause);
   SessionId id() const { return this->Id; }
-  // Whether the last statement was refused because the primary could not be proved to lead.
-  bool refusedForWitness() const { return this->RefusedForWitness; }
   // Number of bytes received but not processed yet.
   size_t buffered() const { return this->Input.size() - this->Consumed; }
 
@@ -154,7 +152,6 @@
     std::string Shape;
   };
   absl::flat_hash_map<std::string, PreparedStatement> Prepared;
-  bool RefusedForWitness = false;
   LogPosition OwnCommitPosition; // highest log position of the session's commits
   Transaction Tx;
   std::optional<Operation> Op;
