--- a/src/promotion/claim.cpp
+++ b/src/promotion/claim.cpp
@@ -61,12 +61,12 @@
   return !Found || Found->Holder == Self || StoreNowMs - Found->TakenAtMs >= ClaimHoldMs;
 }
 
-void Claimer::claim(const std::string &Service, int64_t StoreNowMs, Handler Done) {
-  this->tryClaim(Service, StoreNowMs, MaxClaimWrites, std::move(Done));
+void Claimer::claim(const std::string &Service, int64_t StoreNowMs, const Handler &Done) {
+  this->tryClaim(Service, StoreNowMs, MaxClaimWrites, Done);
 }
 
 void Claimer::tryClaim(const std::string &Service, int64_t StoreNowMs, int AttemptsLeft,
-                       Handler Done) {
+                       const Handler &Done) {
   KnownClaim &Cached = this->KnownClaims[Service];
   if (Cached.Row && !canTakeClaim(Cached.Row, this->Self, StoreNowMs)) {
     Done({.Outcome = ClaimOutcome::HeldByOther, .Detail = Cached.Row->Holder.Value});
@@ -88,7 +88,7 @@
 }
 
 void Claimer::recordOrder(const std::string &Service, int64_t StoreNowMs, RecordedOrder Order,
-                          const std::vector<RecordedOrder> &Void, Handler Done) {
+                          const std::vector<RecordedOrder> &Void, const Handler &Done) {
   const KnownClaim &Cached = this->KnownClaims[Service];
   if (!Cached.Row || Cached.Row->Holder != this->Self) {
     Done({.Outcome = ClaimOutcome::HeldByOther,
--- a/src/promotion/claim.h
+++ b/src/promotion/claim.h
@@ -63,19 +63,20 @@
   Claimer(store::RowStore &Rows, InstanceId Self) : Rows(Rows), Self(std::move(Self)) {}
 
   // StoreNowMs: the time on the store's clock, estimated from its answers.
-  void claim(const std::string &Service, int64_t StoreNowMs, Handler Done);
+  void claim(const std::string &Service, int64_t StoreNowMs, const Handler &Done);
   // Renews the claim and records that Order is about to be sent, with the token that Done gets.
   // Orders in Void were answered and will not be executed any more. Fails if another instance has
   // written the row since it was last read or written by this one.
   void recordOrder(const std::string &Service, int64_t StoreNowMs, RecordedOrder Order,
-                   const std::vector<RecordedOrder> &Void, Handler Done);
+                   const std::vector<RecordedOrder> &Void, const Handler &Done);
 
 private:
   struct KnownClaim {
     store::RowVersion Version;
     std::optional<ClaimRow> Row;
   };
-  void tryClaim(const std::string &Service, int64_t StoreNowMs, int AttemptsLeft, Handler Done);
+  void tryClaim(const std::string &Service, int64_t StoreNowMs, int AttemptsLeft,
+                const Handler &Done);
   void write(const std::string &Service, ClaimRow New, int64_t StoreNowMs,
              std::function<void(const store::WriteResult &)> OnConflict, const Handler &Done);
 
