--- a/src/platform/platform.cpp
+++ b/src/platform/platform.cpp
@@ -59,20 +59,26 @@
           .InRegion = Region(Row.at("region").get<std::string>())};
 }
 
+// Text of a value for an error message. dump() recurses, so that a deeply nested value of another
+// writer would exhaust the stack.
+std::string quoted(const json &Value) {
+  return Value.is_structured() ? Value.type_name() : Value.dump();
+}
+
 // Reads an integer and checks its range. The JSON library's own conversion would silently drop the
 // high bits.
 uint32_t parseInteger(const json &Row, const char *Name, uint32_t Min, uint32_t Max) {
   const json &Value = Row.at(Name);
   if (!Value.is_number_integer() || Value < Min || Value > Max)
     throw std::invalid_argument(
-        absl::StrFormat("%s is %s, not an integer from %d to %d", Name, Value.dump(), Min, Max));
+        absl::StrFormat("%s is %s, not an integer from %d to %d", Name, quoted(Value), Min, Max));
   return Value.get<uint32_t>();
 }
 
 uint64_t parseVersion(const json &Value) {
   if (!Value.is_number_unsigned())
     throw std::invalid_argument(
-        absl::StrFormat("row version is %s, not an unsigned integer", Value.dump()));
+        absl::StrFormat("row version is %s, not an unsigned integer", quoted(Value)));
   return Value.get<uint64_t>();
 }
 
--- a/src/platform/platform_test.cpp
+++ b/src/platform/platform_test.cpp
@@ -1,6 +1,7 @@
 #include "platform/platform.h"
 #include "standin/platform/server.h"
 
+#include "absl/strings/str_cat.h"
 #include "absl/strings/str_format.h"
 
 #include <doctest/doctest.h>
@@ -170,3 +171,19 @@
   auto Found = capture([&] { return C.directory(); });
   CHECK(contains(Found.Problem.Message, "port is 70000, not an integer from 1 to 65535"));
 }
+
+// Guards against an entry of another writer that ends the process: the error message for a nested
+// value was built by recursion and exhausted the stack.
+TEST_CASE("a deeply nested value or a number beyond 64 bits is an error") {
+  constexpr size_t Depth = 200'000;
+  const std::string Nested = std::string(Depth, '[') + std::string(Depth, ']');
+  for (const std::string &Slots :
+       {Nested, std::string("1e300"), std::string("-1"), std::string("18446744073709551617")}) {
+    FixedResponseServer Server(absl::StrCat(
+        R"({"instances":[],"groups":[{"name":"a","connections":1,"targets":[],"slots":)", Slots,
+        "}]}"));
+    Client C({.Url = absl::StrFormat("http://127.0.0.1:%d", Server.Port)});
+    auto Found = capture([&] { return C.directory(); });
+    CHECK(contains(Found.Problem.Message, "not an integer from 1 to 1000000"));
+  }
+}
