An instance is not ready only while no other target of a service answers

Cause: with no acknowledged copies all other targets are witnesses, so that one lost replica would have taken every instance out of rotation. Change: an instance counts as cut off with a primary when witnesses are needed and none answers.

--- a/src/gateway/prover.cpp
+++ b/src/gateway/prover.cpp
@@ -160,7 +160,8 @@
 
 void LeadProver::tick() {
   Instant Now = this->InLoop.now();
-  bool Missing = this->Router.primary() && !this->enoughWitnesses();
+  bool Missing = this->Router.primary() && this->Router.lead().witnessesNeeded() > 0 &&
+                 this->candidates().empty();
   this->WitnessesMissingSince =
       Missing ? std::min(this->WitnessesMissingSince, Now) : absl::InfiniteFuture();
   // The log of a new primary does not tell its term before the first commit.
--- a/src/gateway/prover.h
+++ b/src/gateway/prover.h
@@ -40,7 +40,8 @@
   void prove(const placement::Lead &L, Instant Since, Instant Deadline, Handler Done);
   // Whether as many targets as needed can be asked.
   bool enoughWitnesses() const;
-  // Since when the primary is known but too few other targets answer; infinite future otherwise.
+  // Since when the primary is known, needs witnesses, and no other target answers; infinite future
+  // otherwise.
   Instant witnessesMissingSince() const { return this->WitnessesMissingSince; }
   // Asks further targets for overdue proofs and ends proofs whose deadline has passed.
   void tick();
--- a/src/gateway/readiness.h
+++ b/src/gateway/readiness.h
@@ -10,8 +10,8 @@
   bool ConfigurationKnown = false;
   bool TargetsKnown = false;
   bool Draining = false;
-  // Since when, for some service, the primary is known but too few other targets answer to prove
-  // that it was not replaced. Infinite future if there is no such service.
+  // Since when, for some service, the primary is known but no other target answers to prove that it
+  // was not replaced. Infinite future if there is no such service.
   Instant WitnessesMissingSince = absl::InfiniteFuture();
 };
 
