--- a/src/placement/lead_test.cpp
+++ b/src/placement/lead_test.cpp
@@ -27,7 +27,7 @@
 } // namespace
 
 // Guards against reads at a primary that was replaced while it was cut off: it goes on accepting
-// transactions (batbayar-wool-grown, trouble-1).
+// transactions.
 TEST_CASE("the word of a primary alone proves no position") {
   LeadEvidence E = evidence(3, 1);
   CHECK_FALSE(E.onPrimary(First, position(1, 5), at(10)));
@@ -59,7 +59,7 @@
 }
 
 // Guards against a replaced primary that is asked as a replica after it stepped down and confirms
-// its own earlier answers (batbayar-wool-grown, a day drawn for the gate).
+// its own earlier answers.
 TEST_CASE("a primary is no witness of its own answers") {
   LeadEvidence E = evidence(3, 1);
   E.onPrimary(First, position(1, 5), at(10));
