--- a/src/promotion/change_test.cpp
+++ b/src/promotion/change_test.cpp
@@ -284,7 +284,7 @@
 // Guards against an order that rests on an old belief. An instance that was cut off with the old
 // primary took the claim over and ordered the promotion of the primary that it knew, to invalidate
 // older orders; the order took the lead from the present primary, and 61 acknowledged commits were
-// lost (batbayar-wool, scale-2).
+// lost.
 TEST_CASE("a claim taken over from another instance sends no order for the believed primary") {
   PrimaryChange C = makeChange(ChangeKind::Failover);
   C.start(at(0));
