--- a/review/common.sh
+++ b/review/common.sh
@@ -121,13 +121,6 @@
   note "four daemons are ready"
 }
 
-# Prints the peak of a process's memory in MB; 0 if the process has ended.
-memory_mb() {
-  local kb
-  kb=$(sed -n 's/^VmHWM:[[:space:]]*\([0-9]*\).*/\1/p' "/proc/$1/status" 2>/dev/null)
-  echo $((${kb:-0} / 1024))
-}
-
 # A sound client with a session of its own: sends a write, waits for its answer, and goes on. Records
 # each write. After its connection has ended it opens another one.
 run_client() {
