A caller's buffered statements are processed without recursion

Cause: such a statement ends within the call that began it, and its end processed the next buffered one, so that the stack grew with their number.

Change: processMessages() does not enter itself; its loop goes on. After 64 messages that end at once the loop serves other callers first.

--- a/src/gateway/session.cpp
+++ b/src/gateway/session.cpp
@@ -55,17 +55,34 @@
   this->processMessages();
 }
 
-// Processes the messages in order. The next one waits until the current statement is answered.
+// Processes the messages in order. The next one waits until the current statement is answered. A
+// statement that ends while this function runs, such as one that is refused at once, does not enter
+// it again: the loop below goes on. After some messages other callers are served first.
 void Session::processMessages() {
-  while (!this->Closed && !this->Op && !this->AwaitsConfiguration) {
+  if (this->Processing || this->ContinuesLater)
+    return;
+  this->Processing = true;
+  int Left = MaxMessagesPerRound;
+  while (Left > 0 && !this->Closed && !this->Op && !this->AwaitsConfiguration) {
     std::optional<CallerMessage> Message =
         this->Deps.Protocol.takeCallerMessage(this->Input, this->Consumed);
     if (!Message)
       break;
+    --Left;
     this->onMessage(std::move(*Message));
   }
+  this->Processing = false;
   this->Input.erase(0, this->Consumed);
   this->Consumed = 0;
+  if (Left > 0)
+    return;
+  this->ContinuesLater = true;
+  this->Deps.InLoop.post([Self = this->weak_from_this()] {
+    if (auto S = Self.lock()) {
+      S->ContinuesLater = false;
+      S->processMessages();
+    }
+  });
 }
 
 void Session::onMessage(CallerMessage &&Message) {
--- a/src/gateway/session.h
+++ b/src/gateway/session.h
@@ -141,7 +141,9 @@
   SessionDependencies Deps;
   SessionId Id;
   std::string Input;
-  size_t Consumed = 0; // bytes of Input that were processed
+  size_t Consumed = 0;         // bytes of Input that were processed
+  bool Processing = false;     // processMessages() is running
+  bool ContinuesLater = false; // processMessages() is posted to the loop
   std::string Database;
   bool Started = false;
   bool AwaitsConfiguration = false;
--- a/src/gateway/session_limits.h
+++ b/src/gateway/session_limits.h
@@ -12,6 +12,9 @@
 // replica receives the log. A lost connection or answer is detected sooner.
 inline constexpr absl::Duration BlockedWriteThreshold = absl::Milliseconds(400);
 
+// Messages of one caller that are processed before others are served, if each ends at once.
+inline constexpr int MaxMessagesPerRound = 64;
+
 // Longest wait for the proof that the primary had not been replaced, after its answer.
 inline constexpr absl::Duration ProofTimeout = absl::Milliseconds(400);
 
