Odd rows of instances and addresses that cannot be connected to end no process

The rows of the instances have held an address since the change of primary asks other instances.

Cause: an address that ZeroMQ refuses was connected to outside of the handler of its exceptions, so that the process ended; a row could hold one, as only its port was checked.

Change: a row's address has to be IP:PORT; a failed connect is logged and the message counts as not sent.

--- a/src/gateway/instances.cpp
+++ b/src/gateway/instances.cpp
@@ -20,8 +20,9 @@
 
 } // namespace
 
-// A malformed row does not count. Its fields are separated by blanks: time of the renewal and, if
-// the instance has a link, endpoint and incarnation.
+// A row without a valid time does not count; one with an invalid address is not asked. The fields
+// of a row are separated by blanks: time of the renewal and, if the instance has a link, endpoint
+// and incarnation.
 std::map<InstanceId, InstanceAddress> aliveInstances(const std::vector<store::Row> &Rows,
                                                      int64_t StoreNowMs) {
   std::map<InstanceId, InstanceAddress> Out;
@@ -33,7 +34,8 @@
       continue;
     InstanceAddress &Address = Out[InstanceId(R.Key)];
     uint64_t Incarnation = 0;
-    if (Fields.size() == 3 && splitAddress(Fields[1]) && absl::SimpleAtoi(Fields[2], &Incarnation))
+    if (Fields.size() == 3 && isSocketAddress(Fields[1]) &&
+        absl::SimpleAtoi(Fields[2], &Incarnation))
       Address = {.Endpoint = Fields[1], .Incarnation = Incarnation};
   }
   return Out;
--- a/src/link/link.cpp
+++ b/src/link/link.cpp
@@ -234,8 +234,6 @@
 }
 
 bool LinkService::Impl::sendTo(Peer &P, proto::Envelope &Message) {
-  if (!P.Dealer)
-    this->connect(P);
   P.LastUsed = this->InLoop.now();
   Message.set_from(this->Options.Self.Value);
   Message.set_incarnation(this->Options.Incarnation);
@@ -244,12 +242,15 @@
   std::string Bytes = Message.SerializeAsString();
   bool Sent = false;
   try {
+    if (!P.Dealer)
+      this->connect(P);
     Sent = P.Dealer->send(zmq::message_t(Bytes.data(), Bytes.size()), zmq::send_flags::dontwait)
                .has_value();
   } catch (const zmq::error_t &E) {
     LogEvent(LogLevel::Warn, "link_send_failed")
         .kv("peer", P.Address.Endpoint)
         .kv("cause", E.what());
+    P.Dealer.reset();
   }
   P.SentSequence += Sent ? 1 : 0;
   this->Counters.add(Sent ? "link_sent_bytes_total" : "link_send_failures_total",
--- a/src/link/link_test.cpp
+++ b/src/link/link_test.cpp
@@ -247,3 +247,12 @@
   REQUIRE_FALSE(Bound);
   CHECK(Bound.Problem.Message.find(std::to_string(A.Service.port())) != std::string::npos);
 }
+
+// Guards against an odd address in a row of the store, which ended the process with an exception.
+TEST_CASE("a message to an address that cannot be connected to is not sent") {
+  Loop L;
+  TestPeer A(L, "a", [] {});
+  REQUIRE(capture([&] { return A.Service.bind(); }));
+  A.Service.setPeers({{InstanceId("b"), {.Endpoint = "", .Incarnation = 1}}});
+  CHECK_FALSE(A.Service.send(InstanceId("b"), cancel(1)));
+}
