--- a/review/9/run.sh
+++ b/review/9/run.sh
@@ -25,7 +25,8 @@
 done
 
 sleep 1
-primary_log 0 >"$work/log"
+primary_log 0 >"$work/log" || cannot_run "the log of the primary was not read"
+grep -q '^00000000000000a1 ' "$work/log" || cannot_run "the plain write is not in the log of the primary"
 while read -r line; do note "server ran and committed: $line"; done <"$work/log"
 kill -0 "$daemon" 2>/dev/null || note "the daemon has ended"
 if grep -q '^00000000000000c' "$work/log"; then
