--- a/scripts/lint.sh
+++ b/scripts/lint.sh
@@ -16,7 +16,7 @@
 tidy_one() {
   local file=$1 key stamp
   # The key hashes the preprocessed text because that changes with any included header.
-  key=$(g++ -std=c++20 -I. -Isrc -Itests -Itests/soak -Iplatform -DTOUCAN_SOURCE_DIR='""' -DTOUCAN_BIN_DIR='""' \
+  key=$(g++ -std=c++20 -I. -Isrc -Ibuild/generated -Itests -Itests/soak -Iplatform -DTOUCAN_SOURCE_DIR='""' -DTOUCAN_BIN_DIR='""' \
     -I"$(pg_config --includedir 2>/dev/null || echo /usr/include/postgresql)" -E -P "$file" 2>/dev/null |
     cat - .clang-tidy | sha256sum | cut -d' ' -f1)
   stamp="$stamps/$key"
--- a/src/base/ids.cpp
+++ b/src/base/ids.cpp
@@ -4,6 +4,11 @@
 
 namespace toucan {
 
+const AccountName &defaultAccount() {
+  static const AccountName Default("toucanrun");
+  return Default;
+}
+
 Instant monotonicNow() {
   timespec Now{};
   // CLOCK_MONOTONIC stands still while a machine is suspended, so ages measured by it would be too
--- a/src/base/ids.h
+++ b/src/base/ids.h
@@ -30,12 +30,16 @@
 using DatabaseName = StrongId<struct DatabaseTag, std::string>;
 using DataCentre = StrongId<struct DataCentreTag, std::string>;
 using Region = StrongId<struct RegionTag, std::string>;
+using AccountName = StrongId<struct AccountTag, std::string>;
 using RequestId = StrongId<struct RequestTag, uint64_t>;
 using SessionId = StrongId<struct SessionTag, uint64_t>;
 using LeaseId = StrongId<struct LeaseTag, uint64_t>;
 using Term = StrongId<struct TermTag, uint64_t>;
 using RulesVersion = StrongId<struct RulesVersionTag, uint64_t>;
 
+// The account of the proxy's own connections, and of all callers where none are configured.
+const AccountName &defaultAccount();
+
 // A place in the log of a database group. Positions grow over terms; a term is compared first.
 struct LogPosition {
   Term InTerm;
--- a/src/gateway/codec.h
+++ b/src/gateway/codec.h
@@ -18,6 +18,7 @@
 struct CallerMessage {
   CallerMessageKind Kind = CallerMessageKind::Malformed;
   std::string Database;            // Start
+  std::string Key;                 // Start; identifies the client account. Never logged
   std::string Id;                  // Query
   std::optional<Statement> Parsed; // Query; empty if the text is not a known statement
 };
@@ -48,7 +49,7 @@
   virtual void appendSessionRefused(std::string &Out, const StatementError &Error) = 0;
   virtual void appendAnswer(std::string &Out, const Answer &Reply) = 0;
   virtual void appendTargetStart(std::string &Out, std::string_view Service,
-                                 const TargetId &Expected) = 0;
+                                 const AccountName &Account, const TargetId &Expected) = 0;
   virtual void appendTargetRequest(std::string &Out, const TargetRequest &Request) = 0;
   // Parses the row that a target returns for Status and Pause.
   virtual std::optional<TargetStatus> parseStatus(const Answer &Reply) = 0;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -33,14 +33,15 @@
 Gateway::Gateway(Loop &InLoop, Codec &Protocol, Metrics &Counters, store::RowStore &Rows,
                  Promoter &Promotions, TargetReader &Reader, GatewayOptions Options)
     : InLoop(InLoop), Protocol(Protocol), Counters(Counters), Options(std::move(Options)),
-      Instances(InLoop, Rows, this->Options.Self),
-      Observers(InLoop, Protocol, Counters,
-                [this](const catalog::ServiceName &Service) { return this->router(Service); },
-                {.Self = this->Options.Self,
-                 .Incarnation = this->Options.Incarnation,
-                 .Host = this->Options.LinkHost,
-                 .Port = this->Options.LinkPort,
-                 .Seed = this->Options.Seed}),
+      Instances(InLoop, Rows, this->Options.Self), Peers(InLoop, Counters,
+                                                         {.Self = this->Options.Self,
+                                                          .Incarnation = this->Options.Incarnation,
+                                                          .Host = this->Options.LinkHost,
+                                                          .Port = this->Options.LinkPort}),
+      Observers(
+          InLoop, Protocol, Counters, this->Peers,
+          [this](const catalog::ServiceName &Service) { return this->router(Service); },
+          this->Options.Seed),
       Groups(InLoop, Rows, absl::Milliseconds(this->Options.Seed % SaveJitterMs),
              this->Options.GroupGrowthDelay),
       Claims(Rows, this->Options.Self), Promotions(Promotions), Reader(Reader),
@@ -61,14 +62,16 @@
 Result<void> Gateway::start() {
   BOOST_LEAF_ASSIGN(this->ListenFd, listenOn(this->Options.CallerAddress));
   this->InLoop.watch(this->ListenFd, EPOLLIN, [this](uint32_t) { this->acceptCallers(); });
-  BOOST_LEAF_CHECK(this->Observers.start());
+  BOOST_LEAF_CHECK(this->Peers.start());
   this->Instances.OnAlive = [this](const std::map<InstanceId, InstanceAddress> &Alive) {
     for (auto &[Name, S] : this->Services)
       S.Router->setLimits(S.Router->limits(), this->Instances.aliveCount());
-    this->Observers.setPeers(Alive);
+    this->Peers.setPeers(Alive);
   };
-  this->Instances.start(
-      {.Endpoint = this->Observers.endpoint(), .Incarnation = this->Observers.incarnation()});
+  this->Instances.start({.Endpoint = this->Peers.endpoint(),
+                         .Incarnation = this->Peers.incarnation(),
+                         .Centre = this->Options.Location.Centre,
+                         .MilliCores = this->Options.MilliCores});
   this->Groups.start();
   this->tick();
   return {};
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -8,6 +8,7 @@
 #include "gateway/groups.h"
 #include "gateway/instances.h"
 #include "gateway/observers.h"
+#include "gateway/peers.h"
 #include "gateway/readiness.h"
 #include "gateway/router.h"
 #include "gateway/session.h"
@@ -30,6 +31,7 @@
   std::string LinkHost;                                // IP address of the link; empty: no link
   uint16_t LinkPort = 0;                               // 0: ephemeral port
   uint64_t Incarnation = 0;                            // start of this process
+  uint32_t MilliCores = 0;                             // CPU time it may use; 0: not known
   uint64_t Seed = 1;                                   // of the random choice of targets for reads
   absl::Duration GroupGrowthDelay = absl::Seconds(20); // see GroupSizes
 };
@@ -109,6 +111,7 @@
   catalog::TargetDirectory Targets;
   bool TargetsKnown = false;
   InstanceRegistry Instances;
+  PeerLink Peers;
   LeaderObservers Observers;
   GroupSizes Groups;
   promotion::Claimer Claims;
--- a/src/gateway/instances.cpp
+++ b/src/gateway/instances.cpp
@@ -21,8 +21,8 @@
 } // namespace
 
 // A row without a valid time does not count; one with an invalid address is not asked. The fields
-// of a row are separated by blanks: time of the renewal and, if the instance has a link, endpoint
-// and incarnation.
+// of a row are separated by blanks: time of the renewal and, if the instance has a link, endpoint,
+// incarnation, data centre and CPU time. Rows of older versions lack the last two.
 std::map<InstanceId, InstanceAddress> aliveInstances(const std::vector<store::Row> &Rows,
                                                      int64_t StoreNowMs) {
   std::map<InstanceId, InstanceAddress> Out;
@@ -34,9 +34,15 @@
       continue;
     InstanceAddress &Address = Out[InstanceId(R.Key)];
     uint64_t Incarnation = 0;
-    if (Fields.size() == 3 && isSocketAddress(Fields[1]) &&
-        absl::SimpleAtoi(Fields[2], &Incarnation))
-      Address = {.Endpoint = Fields[1], .Incarnation = Incarnation};
+    bool Known = Fields.size() == 3 || Fields.size() == 5;
+    if (!Known || !isSocketAddress(Fields[1]) || !absl::SimpleAtoi(Fields[2], &Incarnation))
+      continue;
+    Address = {.Endpoint = Fields[1], .Incarnation = Incarnation};
+    uint32_t MilliCores = 0;
+    if (Fields.size() == 5 && absl::SimpleAtoi(Fields[4], &MilliCores)) {
+      Address.Centre = DataCentre(Fields[3]);
+      Address.MilliCores = MilliCores;
+    }
   }
   return Out;
 }
@@ -44,7 +50,10 @@
 std::string encodeRenewal(int64_t StoreNowMs, const InstanceAddress &Address) {
   return Address.Endpoint.empty()
              ? absl::StrCat(StoreNowMs)
-             : absl::StrCat(StoreNowMs, " ", Address.Endpoint, " ", Address.Incarnation);
+             : absl::StrCat(StoreNowMs, " ", Address.Endpoint, " ", Address.Incarnation,
+                            Address.Centre.Value.empty()
+                                ? ""
+                                : absl::StrCat(" ", Address.Centre.Value, " ", Address.MilliCores));
 }
 
 InstanceRegistry::InstanceRegistry(Loop &InLoop, store::RowStore &Rows, InstanceId Self)
--- a/src/gateway/instances.h
+++ b/src/gateway/instances.h
@@ -19,6 +19,8 @@
 struct InstanceAddress {
   std::string Endpoint;     // host:port
   uint64_t Incarnation = 0; // start of the process
+  DataCentre Centre;        // empty: not known
+  uint32_t MilliCores = 0;  // CPU time that it may use; 0: not known
 };
 
 // The live instances according to the rows, with their addresses.
--- a/src/gateway/instances_test.cpp
+++ b/src/gateway/instances_test.cpp
@@ -25,6 +25,20 @@
   CHECK(Alive[InstanceId("a")].Endpoint == "10.0.0.1:7440");
   CHECK(Alive[InstanceId("a")].Incarnation == 7);
   CHECK(Alive[InstanceId("b")].Endpoint.empty());
+  CHECK(Alive[InstanceId("a")].Centre.Value.empty());
+}
+
+// Guards against an instance whose data centre and CPU time the others do not learn.
+TEST_CASE("instances: a row carries data centre and CPU time") {
+  auto Alive = aliveInstances({row("a", encodeRenewal(NowMs, {.Endpoint = "10.0.0.1:7440",
+                                                              .Incarnation = 7,
+                                                              .Centre = DataCentre("north-1"),
+                                                              .MilliCores = 84}))},
+                              NowMs);
+  REQUIRE(Alive.size() == 1);
+  CHECK(Alive[InstanceId("a")].Endpoint == "10.0.0.1:7440");
+  CHECK(Alive[InstanceId("a")].Centre == DataCentre("north-1"));
+  CHECK(Alive[InstanceId("a")].MilliCores == 84);
 }
 
 // Guards against odd rows of another writer that end the process or are connected to.
--- a/src/gateway/link.cpp
+++ b/src/gateway/link.cpp
@@ -83,7 +83,8 @@
   }
   this->CurrentPhase = Phase::Starting;
   std::string Start;
-  this->Protocol.appendTargetStart(Start, this->Options.Service, this->Options.Target);
+  this->Protocol.appendTargetStart(Start, this->Options.Service, this->Options.Account,
+                                   this->Options.Target);
   this->Out.insert(0, Start);
   this->flush();
   return this->CurrentPhase != Phase::Closed;
--- a/src/gateway/link.h
+++ b/src/gateway/link.h
@@ -43,6 +43,7 @@
 struct LinkOptions {
   TargetId Target;
   std::string Service;  // service name sent when the session is opened
+  AccountName Account;  // client account named when the session is opened
   std::string Address;  // IP:PORT
   Instant OpenDeadline; // the link is closed if the session is not open by then
 };
@@ -63,6 +64,8 @@
   void close(std::string_view Cause);
 
   Phase phase() const { return this->CurrentPhase; }
+  // The client account whose statements the link carries.
+  const AccountName &account() const { return this->Options.Account; }
   // True if the link can be given to another statement: nothing is pending and no transaction is
   // open.
   bool idle() const {
--- a/src/gateway/observers.cpp
+++ b/src/gateway/observers.cpp
@@ -28,48 +28,17 @@
 
 } // namespace
 
-LeaderObservers::LeaderObservers(Loop &InLoop, Codec &Protocol, Metrics &Counters,
-                                 RouterLookup FindRouter, ObserverOptions Options)
-    : InLoop(InLoop), Protocol(Protocol), Counters(Counters), FindRouter(std::move(FindRouter)),
-      Options(std::move(Options)), Random(this->Options.Seed) {}
-
-Result<void> LeaderObservers::start() {
-  if (this->Options.Host.empty())
-    return {};
-  this->Link = std::make_unique<link::LinkService>(
-      this->InLoop,
-      link::LinkOptions{.Self = this->Options.Self,
-                        .Incarnation = this->Options.Incarnation,
-                        .Host = this->Options.Host,
-                        .Port = this->Options.Port},
-      link::LinkHandlers{
-          .OnMessage = [this](const InstanceId &From,
-                              const proto::Envelope &M) { this->onMessage(From, M); },
-          .OnAdmin =
-              [this](const proto::Envelope &, const std::function<void(proto::Envelope)> &) {
-                this->Counters.add("link_malformed_total");
-              },
-          .OnPeerLost = [](const InstanceId &) {}},
-      this->Counters);
-  return this->Link->bind();
-}
-
-std::string LeaderObservers::endpoint() const {
-  return this->Link ? this->Options.Host + ":" + std::to_string(this->Link->port()) : "";
-}
-
-void LeaderObservers::setPeers(const std::map<InstanceId, InstanceAddress> &Alive) {
-  if (!this->Link)
-    return;
-  std::map<InstanceId, link::PeerAddress> Addresses;
-  this->Peers.clear();
-  for (const auto &[Id, Address] : Alive) {
-    if (Id == this->Options.Self || Address.Endpoint.empty())
-      continue;
-    this->Peers.push_back(Id);
-    Addresses[Id] = {.Endpoint = Address.Endpoint, .Incarnation = Address.Incarnation};
-  }
-  this->Link->setPeers(std::move(Addresses));
+LeaderObservers::LeaderObservers(Loop &InLoop, Codec &Protocol, Metrics &Counters, PeerLink &Peers,
+                                 RouterLookup FindRouter, uint64_t Seed)
+    : InLoop(InLoop), Protocol(Protocol), Counters(Counters), Peers(Peers),
+      FindRouter(std::move(FindRouter)), Random(Seed) {
+  using Kind = PeerLink::Kind;
+  Peers.handle(Kind::kLeaderRequest, [this](const InstanceId &From, const proto::Envelope &M) {
+    this->onRequest(From, M.leader_request());
+  });
+  Peers.handle(Kind::kLeaderReply, [this](const InstanceId &From, const proto::Envelope &M) {
+    this->onReply(From, M.leader_reply());
+  });
 }
 
 void LeaderObservers::send(const InstanceId &To, const ServiceTarget &Of, Term StepDownBelow,
@@ -82,7 +51,7 @@
   R.set_step_down_below(StepDownBelow.Value);
   R.set_budget_us(static_cast<uint64_t>(
       std::max<int64_t>(0, absl::ToInt64Microseconds(Deadline - this->InLoop.now()))));
-  if (!this->Link->send(To, std::move(Message)))
+  if (!this->Peers.send(To, std::move(Message)))
     this->InLoop.post([this, Id, To] { this->onAnswer(Id, To, {}); });
 }
 
@@ -122,13 +91,13 @@
 void LeaderObservers::observe(const ServiceTarget &Of, Instant Deadline, Handler Done) {
   this->ObserverOf.erase(Of.Target);
   std::vector<InstanceId> Asked;
-  std::sample(this->Peers.begin(), this->Peers.end(), std::back_inserter(Asked), MaxAsked,
-              this->Random);
+  std::sample(this->Peers.peers().begin(), this->Peers.peers().end(), std::back_inserter(Asked),
+              MaxAsked, this->Random);
   uint64_t Id = this->await(Of, Asked.size() + 1, Deadline, std::move(Done));
   for (const InstanceId &Peer : Asked)
     this->send(Peer, Of, Term(), Id, Deadline);
   this->askTarget(Of, Term(), Deadline,
-                  [this, Id](const Observation &O) { this->onAnswer(Id, this->Options.Self, O); });
+                  [this, Id](const Observation &O) { this->onAnswer(Id, this->Peers.self(), O); });
 }
 
 void LeaderObservers::stepDown(const ServiceTarget &Of, Term Below, Instant Deadline,
@@ -140,11 +109,11 @@
   }
   InstanceId Observer = It->second;
   uint64_t Id = this->await(Of, 1, Deadline, std::move(Done));
-  if (Observer != this->Options.Self)
+  if (Observer != this->Peers.self())
     this->send(Observer, Of, Below, Id, Deadline);
   else
     this->askTarget(Of, Below, Deadline, [this, Id](const Observation &O) {
-      this->onAnswer(Id, this->Options.Self, O);
+      this->onAnswer(Id, this->Peers.self(), O);
     });
 }
 
@@ -178,15 +147,6 @@
                 });
 }
 
-void LeaderObservers::onMessage(const InstanceId &From, const proto::Envelope &Message) {
-  if (Message.has_leader_request())
-    this->onRequest(From, Message.leader_request());
-  else if (Message.has_leader_reply())
-    this->onReply(From, Message.leader_reply());
-  else
-    this->Counters.add("link_malformed_total");
-}
-
 void LeaderObservers::onRequest(const InstanceId &From, const proto::LeaderRequest &R) {
   this->Counters.add("leader_requests_received");
   ServiceTarget Of{.Service = catalog::ServiceName(R.service()), .Target = TargetId(R.target())};
@@ -214,7 +174,7 @@
           Out.mutable_received()->set_term(O.Status->Received.InTerm.Value);
           Out.mutable_received()->set_position(O.Status->Received.Position);
         }
-        if (!this->Link->send(From, std::move(Message)))
+        if (!this->Peers.send(From, std::move(Message)))
           LogEvent(LogLevel::Info, "leader_reply_not_sent").kv("peer", From.Value);
       });
 }
--- a/src/gateway/observers.h
+++ b/src/gateway/observers.h
@@ -2,9 +2,8 @@
 #ifndef TOUCAN_GATEWAY_OBSERVERS_H
 #define TOUCAN_GATEWAY_OBSERVERS_H
 
-#include "gateway/instances.h"
+#include "gateway/peers.h"
 #include "gateway/router.h"
-#include "link/link.h"
 #include "promotion/promotion.h"
 
 #include <functional>
@@ -15,14 +14,6 @@
 
 namespace toucan::gateway {
 
-struct ObserverOptions {
-  InstanceId Self;
-  uint64_t Incarnation = 0; // start of this process
-  std::string Host;  // IP address that other instances reach; empty: no link, nobody is asked
-  uint16_t Port = 0; // 0: ephemeral port
-  uint64_t Seed = 1; // of the random choice of the instances that are asked
-};
-
 // A target of a service.
 struct ServiceTarget {
   catalog::ServiceName Service;
@@ -36,15 +27,9 @@
   using RouterLookup = std::function<ServiceRouter *(const catalog::ServiceName &)>;
   using Handler = std::function<void(const promotion::Observation &)>;
 
-  LeaderObservers(Loop &InLoop, Codec &Protocol, Metrics &Counters, RouterLookup FindRouter,
-                  ObserverOptions Options);
-
-  // Binds the link's port. The error names the address and the cause.
-  Result<void> start();
-  // Where other instances reach this one; empty without a link.
-  std::string endpoint() const;
-  uint64_t incarnation() const { return this->Options.Incarnation; }
-  void setPeers(const std::map<InstanceId, InstanceAddress> &Peers);
+  // Seed: of the random choice of the instances that are asked.
+  LeaderObservers(Loop &InLoop, Codec &Protocol, Metrics &Counters, PeerLink &Peers,
+                  RouterLookup FindRouter, uint64_t Seed);
 
   // Asks some instances whether they reach Of. Done gets the first answer of one that does; not
   // reached if all of those asked answered that they do not, or at Deadline.
@@ -65,7 +50,6 @@
             Instant Deadline);
   uint64_t await(const ServiceTarget &Of, size_t Answers, Instant Deadline, Handler Done);
   void onAnswer(uint64_t Id, const InstanceId &From, const promotion::Observation &O);
-  void onMessage(const InstanceId &From, const proto::Envelope &Message);
   void onRequest(const InstanceId &From, const proto::LeaderRequest &R);
   void onReply(const InstanceId &From, const proto::LeaderReply &R);
   void finish(uint64_t Id, const promotion::Observation &O);
@@ -75,10 +59,8 @@
   Loop &InLoop;
   Codec &Protocol;
   Metrics &Counters;
+  PeerLink &Peers;
   RouterLookup FindRouter;
-  ObserverOptions Options;
-  std::unique_ptr<link::LinkService> Link;
-  std::vector<InstanceId> Peers;
   std::map<uint64_t, Request> Requests;
   std::map<TargetId, InstanceId> ObserverOf; // the instance that reached a target last
   std::mt19937_64 Random;
--- a/src/gateway/pool.cpp
+++ b/src/gateway/pool.cpp
@@ -88,11 +88,12 @@
 
 // Prefers a link with the same session values, then one to which values only need to be added. A
 // reset would also discard the prepared statements.
-TargetLink *TargetPool::takeIdle(const absl::flat_hash_map<std::string, std::string> &Values) {
+TargetLink *TargetPool::takeIdle(const AccountName &Account,
+                                 const absl::flat_hash_map<std::string, std::string> &Values) {
   TargetLink *Best = nullptr;
   int BestRank = -1;
   for (const auto &L : this->Links) {
-    if (!L->idle())
+    if (!L->idle() || L->account() != Account)
       continue;
     bool Subset = std::all_of(L->Values.begin(), L->Values.end(),
                               [&](const auto &V) { return Values.contains(V.first); });
@@ -105,6 +106,15 @@
   return Best;
 }
 
+// Prefers a link without session values, like a statement without values does.
+TargetLink *TargetPool::takeAnyIdle() {
+  TargetLink *Best = nullptr;
+  for (const auto &L : this->Links)
+    if (L->idle() && (!Best || (L->Values.empty() && !Best->Values.empty())))
+      Best = L.get();
+  return Best;
+}
+
 uint32_t TargetPool::openingLinks() const {
   return static_cast<uint32_t>(
       std::count_if(this->Links.begin(), this->Links.end(), [](const auto &L) {
@@ -116,27 +126,29 @@
 void TargetPool::openSpare() {
   if (this->InRegularUse && this->idleLinks() + this->openingLinks() == 0 && this->mayOpen() &&
       this->openLinks() < this->Limit.share())
-    this->openLink();
+    this->openLink(defaultAccount());
 }
 
-void TargetPool::openForWaiting(uint32_t Waiting) {
+void TargetPool::openForWaiting(const AccountName &Account, uint32_t Waiting) {
   if (this->openingLinks() < std::min(Waiting, this->Limit.maxOpening(this->InLoop.now())) &&
       this->mayOpen())
-    this->openLink();
+    this->openLink(Account);
 }
 
-std::unique_ptr<TargetLink> TargetPool::makeLink(absl::Duration Timeout) {
+std::unique_ptr<TargetLink> TargetPool::makeLink(const AccountName &Account,
+                                                 absl::Duration Timeout) {
   this->markRequestSent();
   this->Counters.add("target_connections_opened");
   return std::make_unique<TargetLink>(this->InLoop, this->Protocol, *this,
                                       LinkOptions{.Target = this->Entry.Id,
                                                   .Service = this->Entry.Service.Value,
+                                                  .Account = Account,
                                                   .Address = this->Entry.Address,
                                                   .OpenDeadline = this->InLoop.now() + Timeout});
 }
 
-void TargetPool::openLink() {
-  this->Links.push_back(this->makeLink(OpenTimeout));
+void TargetPool::openLink(const AccountName &Account) {
+  this->Links.push_back(this->makeLink(Account, OpenTimeout));
   this->Links.back()->open();
 }
 
@@ -146,13 +158,13 @@
 }
 
 void TargetPool::command(TargetRequest Request, Instant Deadline, AnswerHandler OnAnswer) {
-  TargetLink *Link = this->takeIdle({});
+  TargetLink *Link = this->takeAnyIdle();
   this->submitCommand(Link ? Link : this->controlLink(), std::move(Request), Deadline,
                       std::move(OnAnswer));
 }
 
 void TargetPool::query(TargetRequest Request, Instant Deadline, AnswerHandler OnAnswer) {
-  TargetLink *Link = this->takeIdle({});
+  TargetLink *Link = this->takeAnyIdle();
   if (!Link)
     Link = this->sharedLink();
   this->submitCommand(Link ? Link : this->controlLink(), std::move(Request), Deadline,
@@ -179,7 +191,7 @@
     // This may be called from a handler of the closed link, which must outlive the handler.
     if (this->Control)
       this->destroyLater(std::move(this->Control));
-    this->Control = this->makeLink(OpenTimeout);
+    this->Control = this->makeLink(defaultAccount(), OpenTimeout);
     this->Control->open();
   }
   // If open() failed at once, the control link has already been released.
--- a/src/gateway/pool.h
+++ b/src/gateway/pool.h
@@ -39,9 +39,12 @@
   bool retired() const { return this->Retiring; }
   bool empty() const { return this->Links.empty() && !this->Control; }
 
-  // Returns an idle link, preferably one whose session values fit; null if none is idle. Never
-  // opens a link.
-  TargetLink *takeIdle(const absl::flat_hash_map<std::string, std::string> &Values);
+  // Returns an idle link of the account, preferably one whose session values fit; null if none is
+  // idle. Never opens a link.
+  TargetLink *takeIdle(const AccountName &Account,
+                       const absl::flat_hash_map<std::string, std::string> &Values);
+  // Returns an idle link of any account, for the proxy's own commands; null if none is idle.
+  TargetLink *takeAnyIdle();
   uint32_t idleLinks() const;
   uint32_t openLinks() const { return static_cast<uint32_t>(this->Links.size()); }
   uint32_t running() const;
@@ -56,7 +59,7 @@
   void openSpare();
   // Opens a link, unless as many links as there are waiting statements, or as many as the
   // connection limit permits at once, are being opened already.
-  void openForWaiting(uint32_t Waiting);
+  void openForWaiting(const AccountName &Account, uint32_t Waiting);
   // Sends one of the proxy's own commands. It does not wait behind queued statements. The handler
   // gets null on failure or at the deadline.
   void command(TargetRequest Request, Instant Deadline, AnswerHandler OnAnswer);
@@ -103,12 +106,12 @@
   void release(TargetLink &Link);
 
 private:
-  std::unique_ptr<TargetLink> makeLink(absl::Duration OpenTimeout);
+  std::unique_ptr<TargetLink> makeLink(const AccountName &Account, absl::Duration OpenTimeout);
   TargetLink *sharedLink() const;
   TargetLink *controlLink();
   void submitCommand(TargetLink *Link, TargetRequest Request, Instant Deadline,
                      AnswerHandler OnAnswer);
-  void openLink();
+  void openLink(const AccountName &Account);
   uint32_t idleInTransaction() const;
   uint32_t openingLinks() const;
   void recycle(TargetLink &Link);
--- a/src/gateway/router.cpp
+++ b/src/gateway/router.cpp
@@ -450,9 +450,9 @@
 
 bool ServiceRouter::grantAt(QueuedRequest &H, TargetPool &Pool, std::optional<LogPosition> Floor,
                             std::map<TargetId, uint32_t> &AssignedCounts) {
-  TargetLink *Link = Pool.takeIdle(*H.Request.Values);
+  TargetLink *Link = Pool.takeIdle(H.Request.Account, *H.Request.Values);
   if (!Link) {
-    Pool.openForWaiting(++AssignedCounts[Pool.entry().Id]);
+    Pool.openForWaiting(H.Request.Account, ++AssignedCounts[Pool.entry().Id]);
     return false;
   }
   Link->HeldSince = this->InLoop.now();
@@ -496,7 +496,7 @@
   this->SampleSentAt = Now;
   this->Prover.ask(Now);
   TargetId Id = P->entry().Id;
-  TargetLink *Link = P->takeIdle({});
+  TargetLink *Link = P->takeAnyIdle();
   if (!Link) {
     P->openSpare();
     return;
--- a/src/gateway/router.h
+++ b/src/gateway/router.h
@@ -46,6 +46,7 @@
 
 // Requirements of a statement or transaction that waits for a connection.
 struct ConnectionRequest {
+  AccountName Account = defaultAccount();
   placement::WaitingStatement Wait;     // the router sets Id
   std::optional<absl::Duration> MaxAge; // for reads of bounded age; if empty, the primary is needed
   LogPosition SessionFloor;             // oldest position that a read may see
