Retained and on-demand connections where a target accepts fewer than there are instances

Cause: with 122 instances and 73 connections at each target, the share of one connection for each instance does not exist. Each instance kept one open, the others asked again at fixed intervals; targets refused 65,839 connections in 34 s and 29,974 statements ended as started_late.

Change: below a share of one, at most two thirds of the connections are retained by instances chosen with weighted rendezvous hashing, nearest first. Refusals lead to exponential pauses with jitter; reads go elsewhere meanwhile, and a statement that can get no connection before its start limit is refused with no_connection. Admission counts the learned time of opening a connection. Samples use the control link there and are taken less often. Nothing changes at a share of one or more.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -64,8 +64,12 @@
   this->InLoop.watch(this->ListenFd, EPOLLIN, [this](uint32_t) { this->acceptCallers(); });
   BOOST_LEAF_CHECK(this->Peers.start());
   this->Instances.OnAlive = [this](const std::map<InstanceId, InstanceAddress> &Alive) {
-    for (auto &[Name, S] : this->Services)
+    this->Alive = Alive;
+    for (auto &[Name, S] : this->Services) {
       S.Router->setLimits(S.Router->limits(), this->Instances.aliveCount());
+      S.Router->setInstances(this->Options.Self, Alive);
+    }
+    this->updateConnectionMode();
     this->Peers.setPeers(Alive);
   };
   this->Instances.start({.Endpoint = this->Peers.endpoint(),
@@ -94,6 +98,7 @@
                                              this->Options.Location, Name,
                                              this->Options.Seed + this->Services.size());
   S.Router->setLeavingLimit(this->Options.LeavingLimit);
+  S.Router->setInstances(this->Options.Self, this->Alive);
   S.Router->commits().OnAwaitsSettled = [this] { this->checkClaims(); };
   S.Changes = std::make_unique<ChangeRunner>(
       ChangeDependencies{
@@ -135,6 +140,7 @@
     }
     this->updateGroupSize(Name);
   }
+  this->updateConnectionMode();
   std::vector<std::shared_ptr<Session>> Waiting;
   for (auto &[Id, C] : this->Callers)
     Waiting.push_back(C->CallerSession);
@@ -150,6 +156,26 @@
     this->applyChange(*Change);
 }
 
+// Whether connections are scarce depends on the limits of a service and the live instances.
+void Gateway::updateConnectionMode() {
+  size_t Scarce = 0;
+  size_t Retained = 0;
+  for (const auto &[Name, S] : this->Services) {
+    Scarce += S.Router->connectionsScarce() ? 1 : 0;
+    Retained += S.Router->retainedTargets();
+  }
+  this->Counters.set("connections_scarce_services", static_cast<int64_t>(Scarce));
+  this->Counters.set("connections_retained_targets", static_cast<int64_t>(Retained));
+  if (Scarce == this->ScarceServices && Retained == this->RetainedTargets)
+    return;
+  this->ScarceServices = Scarce;
+  this->RetainedTargets = Retained;
+  LogEvent(LogLevel::Info, "connection_mode")
+      .kv("services_scarce", Scarce)
+      .kv("targets_retained", Retained)
+      .kv("instances", this->Instances.aliveCount());
+}
+
 // Logs and counts an unreadable registration once, not at each of its writes.
 void Gateway::noteReadability(const catalog::Registration &R) {
   if (R.Entry) {
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -94,6 +94,7 @@
   void updateReadiness();
   void updateGroupSize(const catalog::ServiceName &Service);
   void updateListing(const TargetId &Id);
+  void updateConnectionMode();
   void readTargets(const std::function<void(bool)> &Done);
   void checkClaims();
   using KnownLeads = std::map<catalog::ServiceName, promotion::KnownLead>;
@@ -111,6 +112,9 @@
   catalog::TargetDirectory Targets;
   bool TargetsKnown = false;
   InstanceRegistry Instances;
+  std::map<InstanceId, InstanceAddress> Alive; // as of the last read of the rows
+  size_t ScarceServices = 0;
+  size_t RetainedTargets = 0;
   PeerLink Peers;
   LeaderObservers Observers;
   GroupSizes Groups;
--- a/src/gateway/link.cpp
+++ b/src/gateway/link.cpp
@@ -11,8 +11,8 @@
 namespace toucan::gateway {
 
 TargetLink::TargetLink(Loop &InLoop, Codec &Protocol, LinkOwner &Owner, LinkOptions Options)
-    : IdleSince(InLoop.now()), InLoop(InLoop), Protocol(Protocol), Owner(Owner),
-      Options(std::move(Options)) {}
+    : IdleSince(InLoop.now()), RequestedAt(InLoop.now()), InLoop(InLoop), Protocol(Protocol),
+      Owner(Owner), Options(std::move(Options)) {}
 
 TargetLink::~TargetLink() {
   this->InLoop.cancel(this->OpenTimer);
--- a/src/gateway/link.h
+++ b/src/gateway/link.h
@@ -94,6 +94,7 @@
   Instant IdleSince;
   Instant HeldSince = absl::InfiniteFuture(); // when a statement or transaction acquired the link
   bool HeldByTransaction = false;
+  Instant RequestedAt; // when the link was created
   Instant OpenedAt = absl::InfiniteFuture();
   // From when on the target's process is known that this link reaches; at the latest OpenedAt.
   Instant ProcessSince = absl::InfiniteFuture();
--- a/src/gateway/pool.cpp
+++ b/src/gateway/pool.cpp
@@ -23,13 +23,16 @@
 constexpr absl::Duration ProbeTimeout = absl::Milliseconds(400);
 // Keeps the control link open for all commands of one change of primary.
 constexpr absl::Duration ControlIdleLimit = absl::Seconds(10);
+// The same while connections are scarce. With 122 instances, control links that stay open for
+// seconds would take all 73 connections of a target.
+constexpr absl::Duration ScarceControlIdleLimit = placement::OnDemandIdleLimit;
 
 } // namespace
 
 TargetPool::TargetPool(Loop &InLoop, Codec &Protocol, Metrics &Counters, PoolOwner &Owner,
                        catalog::TargetEntry Entry, uint64_t Seed)
     : InLoop(InLoop), Protocol(Protocol), Counters(Counters), Owner(Owner), Entry(std::move(Entry)),
-      Limit(InLoop.now() + placement::BorrowDelay, Seed), Backoff(BackoffMin) {
+      Limit(InLoop.now() + placement::BorrowDelay, Seed), Backoff(BackoffMin), ScarceBackoff(Seed) {
   this->setIsPrimary(this->Entry.Primary);
 }
 
@@ -125,14 +128,21 @@
 
 void TargetPool::openSpare() {
   if (this->InRegularUse && this->idleLinks() + this->openingLinks() == 0 && this->mayOpen() &&
-      this->openLinks() < this->Limit.share())
-    this->openLink(defaultAccount());
+      this->openLinks() < this->Limit.keptOpen())
+    this->openLink(defaultAccount(), "retained");
 }
 
 void TargetPool::openForWaiting(const AccountName &Account, uint32_t Waiting) {
   if (this->openingLinks() < std::min(Waiting, this->Limit.maxOpening(this->InLoop.now())) &&
       this->mayOpen())
-    this->openLink(Account);
+    this->openLink(Account, "on_demand");
+}
+
+Instant TargetPool::linkExpectedAt(placement::Distance To) const {
+  Instant Now = this->InLoop.now();
+  if (!this->Links.empty())
+    return Now;
+  return std::max(Now, this->RetryAt) + this->Connecting.average(To, Now);
 }
 
 std::unique_ptr<TargetLink> TargetPool::makeLink(const AccountName &Account,
@@ -147,7 +157,8 @@
                                                   .OpenDeadline = this->InLoop.now() + Timeout});
 }
 
-void TargetPool::openLink(const AccountName &Account) {
+void TargetPool::openLink(const AccountName &Account, std::string_view Cause) {
+  this->Counters.add(std::string("target_connections_opened_").append(Cause));
   this->Links.push_back(this->makeLink(Account, OpenTimeout));
   this->Links.back()->open();
 }
@@ -167,10 +178,28 @@
   TargetLink *Link = this->takeAnyIdle();
   if (!Link)
     Link = this->sharedLink();
+  if (!Link && !this->mayOpenControl()) {
+    // Nothing is sent, so that the target owes no answer.
+    this->InLoop.at(this->InLoop.now(), [OnAnswer = std::move(OnAnswer)] { OnAnswer(nullptr); });
+    return;
+  }
   this->submitCommand(Link ? Link : this->controlLink(), std::move(Request), Deadline,
                       std::move(OnAnswer));
 }
 
+bool TargetPool::mayOpenControl() const {
+  return this->Control || !this->Limit.scarce() || this->InLoop.now() >= this->RetryAt;
+}
+
+TargetLink *TargetPool::takeForSample() {
+  if (TargetLink *Link = this->takeAnyIdle())
+    return Link;
+  if (this->Limit.scarce() && this->mayOpenControl())
+    return this->controlLink();
+  this->openSpare();
+  return nullptr;
+}
+
 bool TargetPool::hasQueryLink() const {
   return this->sharedLink() || (this->Control && this->Control->phase() == TargetLink::Phase::Open);
 }
@@ -191,6 +220,7 @@
     // This may be called from a handler of the closed link, which must outlive the handler.
     if (this->Control)
       this->destroyLater(std::move(this->Control));
+    this->Counters.add("target_connections_opened_control");
     this->Control = this->makeLink(defaultAccount(), OpenTimeout);
     this->Control->open();
   }
@@ -229,15 +259,16 @@
 void TargetPool::tick() {
   Instant Now = this->InLoop.now();
   this->probe();
-  uint32_t KeptOpen = this->Retiring || !this->InRegularUse ? 0 : this->Limit.share();
+  uint32_t KeptOpen = this->Retiring || !this->InRegularUse ? 0 : this->Limit.keptOpen();
+  absl::Duration SpareLimit =
+      this->Retiring ? absl::ZeroDuration() : this->Limit.spareIdleLimit(Now);
   std::vector<TargetLink *> ToClose;
   uint32_t Open = this->openLinks();
   uint32_t Idle = this->idleLinks();
   for (const auto &L : this->Links) {
     bool Overdue = Now >= L->answerDeadline() + AnswerDeadlineMargin;
     absl::Duration IdleFor = L->idle() ? Now - L->IdleSince : absl::ZeroDuration();
-    bool Spare = L->idle() && Open > KeptOpen &&
-                 IdleFor >= (this->Retiring ? absl::ZeroDuration() : placement::SpareIdleLimit);
+    bool Spare = L->idle() && Open > KeptOpen && IdleFor >= SpareLimit;
     bool Surplus = Idle > 1 && IdleFor >= placement::SurplusIdleLimit;
     if (Overdue) {
       ToClose.push_back(L.get());
@@ -252,7 +283,9 @@
   if (this->Control && this->Control->phase() == TargetLink::Phase::Open &&
       (Now >= this->Control->answerDeadline() + AnswerDeadlineMargin ||
        (this->Control->idle() &&
-        (this->Retiring || Now - this->Control->IdleSince > ControlIdleLimit))))
+        (this->Retiring ||
+         Now - this->Control->IdleSince >
+             (this->Limit.scarce() ? ScarceControlIdleLimit : ControlIdleLimit)))))
     this->Control->close("control link idle or answer overdue");
 }
 
@@ -307,6 +340,8 @@
 
 void TargetPool::onLinkOpen(TargetLink &Link) {
   this->Backoff = BackoffMin;
+  this->ScarceBackoff.onOpened();
+  this->Connecting.onOpened(this->InLoop.now() - Link.RequestedAt, this->InLoop.now());
   if (&Link != this->Control.get())
     this->Owner.onPoolReady(*this);
 }
@@ -394,10 +429,17 @@
   if (Refused) {
     this->Health.LastAnswer = Now;
     this->Health.UnansweredSince = absl::InfiniteFuture();
-    if (Refusal->Code == ErrorCode::TooManyConnections)
+    bool TooMany = Refusal->Code == ErrorCode::TooManyConnections;
+    if (TooMany) {
+      this->Counters.add("target_connections_refused");
       this->Limit.onRefused(Now);
-    this->RetryAt = Now + this->Backoff;
-    this->Backoff = std::min(this->Backoff * 2, BackoffMax);
+    }
+    if (TooMany && this->Limit.scarce()) {
+      this->RetryAt = Now + this->ScarceBackoff.onRefused();
+    } else {
+      this->RetryAt = Now + this->Backoff;
+      this->Backoff = std::min(this->Backoff * 2, BackoffMax);
+    }
   } else if (Link.openFailed()) {
     if (this->Health.FailedConnections++ == 0)
       this->Health.UnreachableSince = Now;
--- a/src/gateway/pool.h
+++ b/src/gateway/pool.h
@@ -34,6 +34,11 @@
   const catalog::TargetEntry &entry() const { return this->Entry; }
   // Connections: the target's limit over all instances. A smaller share closes idle links.
   void setLimit(uint32_t Connections, size_t Instances);
+  // Whether this instance keeps an idle link to the target while connections are scarce.
+  void setRetains(bool Retains) { this->Limit.setRetains(Retains); }
+  // True if an idle link to the target is kept open.
+  bool retains() const { return this->InRegularUse && this->Limit.keptOpen() > 0; }
+  bool connectionsScarce() const { return this->Limit.scarce(); }
   // Accepts no new work. Running statements finish, and links close as they become idle.
   void retire();
   bool retired() const { return this->Retiring; }
@@ -55,6 +60,9 @@
   void setRegularUse(bool InRegularUse) { this->InRegularUse = InRegularUse; }
   // True if another link may be opened for a waiting statement.
   bool mayOpen() const;
+  // When a statement that arrives now can expect a link, as far as opening one decides: the present
+  // time if links are open, else after the delay that a refusal imposed and the opening.
+  Instant linkExpectedAt(placement::Distance To) const;
   // Opens a link, within the share, if none is idle or being opened.
   void openSpare();
   // Opens a link, unless as many links as there are waiting statements, or as many as the
@@ -67,6 +75,10 @@
   void query(TargetRequest Request, Instant Deadline, AnswerHandler OnAnswer);
   // Whether query() can reach the target without a new connection.
   bool hasQueryLink() const;
+  // Returns a link for the proxy's own requests: an idle one, or while connections are scarce the
+  // control link, which is opened if necessary. Null if there is none; then a spare link is opened
+  // if one may be.
+  TargetLink *takeForSample();
   // Probes the target, and closes links that have an overdue answer or are idle and not needed.
   void tick();
 
@@ -111,7 +123,10 @@
   TargetLink *controlLink();
   void submitCommand(TargetLink *Link, TargetRequest Request, Instant Deadline,
                      AnswerHandler OnAnswer);
-  void openLink(const AccountName &Account);
+  // Cause: for the metrics; why the link is opened.
+  void openLink(const AccountName &Account, std::string_view Cause);
+  // False while the target refuses connections and they are scarce.
+  bool mayOpenControl() const;
   uint32_t idleInTransaction() const;
   uint32_t openingLinks() const;
   void recycle(TargetLink &Link);
@@ -137,6 +152,8 @@
   Term LeadTerm;                          // reported by its status as primary
   Instant RetryAt = absl::InfinitePast(); // no link is opened before this time
   absl::Duration Backoff;
+  placement::RefusalBackoff ScarceBackoff;
+  placement::ConnectTime Connecting;
   Instant ProbedAt = absl::InfinitePast();
   Instant ProcessSince = absl::InfiniteFuture();
   promotion::PrimaryHealth Health;
--- a/src/gateway/router.cpp
+++ b/src/gateway/router.cpp
@@ -15,12 +15,14 @@
 // The primary's position is sampled when the newest sample is older than this and reads of bounded
 // age arrive. Well below the shortest useful age bound.
 constexpr absl::Duration SampleMaxAge = absl::Milliseconds(400);
+// The longest such age while connections are scarce.
+constexpr absl::Duration ScarceSampleMaxAge = absl::Seconds(1);
 constexpr absl::Duration SampleTimeout = absl::Milliseconds(500);
 // Sampling continues for this time after the last read of bounded age.
 constexpr absl::Duration BoundedReadWindow = absl::Seconds(3);
 
-constexpr std::array<std::string_view, 4> RejectionNames = {"queue_full", "no_primary",
-                                                            "no_witness", "started_late"};
+constexpr std::array<std::string_view, 5> RejectionNames = {
+    "queue_full", "no_primary", "no_witness", "started_late", "no_connection"};
 
 } // namespace
 
@@ -32,9 +34,14 @@
 std::string_view rejectionName(Rejection R) { return RejectionNames[static_cast<size_t>(R)]; }
 
 placement::Distance InstanceLocation::distanceTo(const DataCentre &Other) const {
-  if (Other == this->Centre)
+  return this->distance(this->Centre, Other);
+}
+
+placement::Distance InstanceLocation::distance(const DataCentre &From,
+                                               const DataCentre &Other) const {
+  if (Other == From)
     return placement::Distance::SameCentre;
-  auto Mine = this->Regions.find(this->Centre);
+  auto Mine = this->Regions.find(From);
   auto Theirs = this->Regions.find(Other);
   bool SameRegion = Mine != this->Regions.end() && Theirs != this->Regions.end() &&
                     Mine->second == Theirs->second;
@@ -59,6 +66,45 @@
     P->setLimit(New.MaxConnections, Count);
   this->Commits.evidence().setCopies(New.AcknowledgedCopies);
   this->updateGroup();
+  this->updateRetained();
+}
+
+void ServiceRouter::setInstances(const InstanceId &Self,
+                                 const std::map<InstanceId, InstanceAddress> &Alive) {
+  this->Self = Self;
+  this->Alive = Alive;
+  // The first read of the rows precedes the row of this instance.
+  this->Alive.try_emplace(Self, InstanceAddress{.Centre = this->OwnLocation.Centre});
+  this->updateRetained();
+}
+
+// Each instance decides for itself from the list of live instances. Different lists change only how
+// many instances retain a connection.
+void ServiceRouter::updateRetained() {
+  if (!this->connectionsScarce())
+    return;
+  uint32_t Count = placement::retainedConnections(this->Limits.MaxConnections);
+  for (auto &[Id, P] : this->Pools) {
+    std::vector<placement::RetentionCandidate> Candidates;
+    Candidates.reserve(this->Alive.size());
+    for (const auto &[Instance, Address] : this->Alive)
+      Candidates.push_back(
+          {.Id = Instance,
+           .DistanceToTarget = this->OwnLocation.distance(Address.Centre, P->entry().Centre),
+           .MilliCores = Address.MilliCores});
+    P->setRetains(placement::retainingInstances(Id, Candidates, Count).contains(this->Self));
+  }
+}
+
+bool ServiceRouter::connectionsScarce() const {
+  return placement::connectionsScarce(this->Limits.MaxConnections, this->Instances);
+}
+
+size_t ServiceRouter::retainedTargets() const {
+  if (!this->connectionsScarce())
+    return 0;
+  return static_cast<size_t>(std::count_if(this->Pools.begin(), this->Pools.end(),
+                                           [](const auto &P) { return P.second->retains(); }));
 }
 
 void ServiceRouter::setGroupSize(uint32_t Size) {
@@ -80,6 +126,7 @@
   TargetPool &Added = *Pool;
   this->Pools[Entry.Id] = std::move(Pool);
   this->updateGroup();
+  this->updateRetained();
   this->changeTarget(Entry);
   if (this->OnTargetAdded)
     this->OnTargetAdded(Added);
@@ -318,6 +365,9 @@
     if (!this->usable(*Pool) || (NeedsPrimary && Pool.get() != Primary))
       continue;
     uint32_t Links = std::max(1U, Pool->openLinks());
+    // Of scarce connections, one that may be opened counts like an open one.
+    if (Pool->connectionsScarce() && Pool->openLinks() > 0 && Pool->mayOpen())
+      ++Links;
     placement::Distance To = this->OwnLocation.distanceTo(Pool->entry().Centre);
     Load.Connections += Links;
     Load.HeldByTransactions += Pool->pinnedLinks();
@@ -340,15 +390,25 @@
   W.Wait.Id = WaitingId(this->NextId++);
   WaitingId Id = W.Wait.Id;
   W.Wait.NeedsPrimary = !W.MaxAge.has_value();
-  if (W.MaxAge)
+  if (W.MaxAge) {
     this->LastBoundedRead = Now;
+    this->ShortestMaxAge = std::min(this->ShortestMaxAge, *W.MaxAge);
+  }
   // Reads of bounded age also need the primary while no sample of its position is available.
   bool OnlyPrimary = W.Wait.NeedsPrimary || !this->readFloor(W);
   if (OnlyPrimary && W.NeedsLeadProof && this->primary() && !this->Prover.enoughWitnesses()) {
     W.OnReject(Rejection::NoWitness);
     return Id;
   }
-  Admission A = placement::admit(W.Wait, this->loadFor(OnlyPrimary), Now);
+  placement::QueueLoad Load = this->loadFor(OnlyPrimary);
+  if (std::optional<Instant> Expected = this->connectionExpected(W, OnlyPrimary)) {
+    if (*Expected > W.Wait.StartBefore) {
+      W.OnReject(Rejection::NoConnection);
+      return Id;
+    }
+    Load.ConnectionDelay = *Expected - Now;
+  }
+  Admission A = placement::admit(W.Wait, Load, Now);
   if (A != Admission::Wait) {
     W.OnReject(A == Admission::RejectBusy ? Rejection::QueueFull : Rejection::NoPrimary);
     return Id;
@@ -365,6 +425,46 @@
   this->Waiting.erase(Id);
 }
 
+std::optional<Instant> ServiceRouter::connectionExpected(const ConnectionRequest &W,
+                                                         bool OnlyPrimary) {
+  if (!this->connectionsScarce())
+    return std::nullopt;
+  std::optional<Instant> Earliest;
+  TargetPool *Primary = this->primary();
+  for (const auto &[Id, Pool] : this->Pools) {
+    if (!this->usable(*Pool) || (OnlyPrimary && Pool.get() != Primary))
+      continue;
+    if (std::find(W.Tried.begin(), W.Tried.end(), Id) != W.Tried.end())
+      continue;
+    Instant At = Pool->linkExpectedAt(this->OwnLocation.distanceTo(Pool->entry().Centre));
+    Earliest = std::min(Earliest.value_or(At), At);
+  }
+  return Earliest;
+}
+
+void ServiceRouter::rejectWithoutConnection() {
+  if (!this->connectionsScarce())
+    return;
+  std::vector<WaitingId> Hopeless;
+  for (const auto &[Id, H] : this->Waiting) {
+    bool OnlyPrimary = H.Request.Wait.NeedsPrimary || !this->readFloor(H.Request);
+    std::optional<Instant> Expected = this->connectionExpected(H.Request, OnlyPrimary);
+    if (Expected && *Expected > H.Request.Wait.StartBefore)
+      Hopeless.push_back(Id);
+  }
+  // A handler may send further statements, and cancel others.
+  for (WaitingId Id : Hopeless) {
+    auto It = this->Waiting.find(Id);
+    if (It == this->Waiting.end())
+      continue;
+    ConnectionRequest W = std::move(It->second.Request);
+    this->cancel(Id);
+    W.OnReject(Rejection::NoConnection);
+  }
+  if (!Hopeless.empty())
+    this->rearmExpiryTimer();
+}
+
 bool ServiceRouter::usable(const TargetPool &Pool) const {
   if (Pool.retired() || Pool.isUnresponsive())
     return false;
@@ -401,6 +501,7 @@
     });
   } while (this->DispatchAgain);
   this->Dispatching = false;
+  this->rejectWithoutConnection();
 }
 
 bool ServiceRouter::tryGrant(QueuedRequest &H, std::map<TargetId, uint32_t> &AssignedCounts) {
@@ -484,23 +585,29 @@
   this->rearmExpiryTimer();
 }
 
+// While connections are scarce, a sample may cost the primary a connection. A sample is then taken
+// at two thirds of an age bound, which leaves time for the connection.
+absl::Duration ServiceRouter::sampleMaxAge() const {
+  return this->connectionsScarce()
+             ? std::clamp(this->ShortestMaxAge * 2 / 3, SampleMaxAge, ScarceSampleMaxAge)
+             : SampleMaxAge;
+}
+
 // Reads of bounded age need a recent position of the primary. If writes and reads at the primary
 // are rare, an empty transaction obtains one without taking a slot.
 void ServiceRouter::samplePrimary() {
   Instant Now = this->InLoop.now();
   TargetPool *P = this->primary();
   if (!P || Now - this->LastBoundedRead > BoundedReadWindow || !this->usable(*P) ||
-      Now - this->Positions.newestSampleTime() < SampleMaxAge ||
+      Now - this->Positions.newestSampleTime() < this->sampleMaxAge() ||
       Now - this->SampleSentAt < SampleMaxAge / 2)
     return;
   this->SampleSentAt = Now;
   this->Prover.ask(Now);
   TargetId Id = P->entry().Id;
-  TargetLink *Link = P->takeAnyIdle();
-  if (!Link) {
-    P->openSpare();
+  TargetLink *Link = P->takeForSample();
+  if (!Link)
     return;
-  }
   std::vector<LinkRequest> Requests;
   SentRequest Sent{.At = Now, .To = P->lead()};
   Requests.push_back({.Request = {.Command = TargetCommand::Begin},
--- a/src/gateway/router.h
+++ b/src/gateway/router.h
@@ -4,6 +4,7 @@
 #define TOUCAN_GATEWAY_ROUTER_H
 
 #include "gateway/commits.h"
+#include "gateway/instances.h"
 #include "gateway/pool.h"
 #include "gateway/prover.h"
 
@@ -25,6 +26,7 @@
   std::map<DataCentre, Region> Regions;
 
   placement::Distance distanceTo(const DataCentre &Other) const;
+  placement::Distance distance(const DataCentre &From, const DataCentre &Other) const;
 };
 
 struct Grant {
@@ -36,10 +38,11 @@
 };
 
 enum class Rejection : uint8_t {
-  QueueFull,   // at the current rate it would start too late
-  NoPrimary,   // the service has no primary, and none is expected in time
-  NoWitness,   // too few targets can be asked whether the primary was replaced
-  StartedLate, // it was still queued at its waiting limit
+  QueueFull,    // at the current rate it would start too late
+  NoPrimary,    // the service has no primary, and none is expected in time
+  NoWitness,    // too few targets can be asked whether the primary was replaced
+  StartedLate,  // it was still queued at its waiting limit
+  NoConnection, // its targets accept no connection before it must start
 };
 
 std::string_view rejectionName(Rejection R);
@@ -75,6 +78,11 @@
   const catalog::ServiceName &name() const { return this->Name; }
   void setLimits(const catalog::ServiceLimits &New, size_t Instances);
   const catalog::ServiceLimits &limits() const { return this->Limits; }
+  // The live instances, of which some retain idle connections while connections are scarce.
+  void setInstances(const InstanceId &Self, const std::map<InstanceId, InstanceAddress> &Alive);
+  bool connectionsScarce() const;
+  // Number of targets to which this instance retains an idle connection while they are scarce.
+  size_t retainedTargets() const;
 
   void addTarget(const catalog::TargetEntry &Entry);
   void changeTarget(const catalog::TargetEntry &Entry);
@@ -148,6 +156,13 @@
   bool grantAt(QueuedRequest &H, TargetPool &Pool, std::optional<LogPosition> Floor,
                std::map<TargetId, uint32_t> &AssignedCounts);
   std::optional<LogPosition> readFloor(const ConnectionRequest &W) const;
+  void updateRetained();
+  // When a connection can be expected for the statement; empty if opening connections does not
+  // decide that.
+  std::optional<Instant> connectionExpected(const ConnectionRequest &W, bool OnlyPrimary);
+  // Rejects the waiting statements that can get no connection before they must start.
+  void rejectWithoutConnection();
+  absl::Duration sampleMaxAge() const;
   void rearmExpiryTimer();
   void rejectExpired();
   void samplePrimary();
@@ -166,6 +181,8 @@
   catalog::ServiceName Name;
   catalog::ServiceLimits Limits;
   size_t Instances = 1;
+  InstanceId Self;
+  std::map<InstanceId, InstanceAddress> Alive;
   std::map<TargetId, std::unique_ptr<TargetPool>> Pools;
   std::vector<std::unique_ptr<TargetPool>> Retired; // removed targets whose links are still open
   placement::WaitQueue Queue;
@@ -190,6 +207,7 @@
   Instant PrimaryExpected = absl::InfiniteFuture();
   Instant SampleSentAt = absl::InfinitePast();
   Instant LastBoundedRead = absl::InfinitePast();
+  absl::Duration ShortestMaxAge = absl::InfiniteDuration();
   absl::Duration LeavingLimit = absl::Seconds(5);
   std::map<TargetId, Instant> LeavingSince;
   TimerId ExpiryTimer;
--- a/src/placement/connections.cpp
+++ b/src/placement/connections.cpp
@@ -3,7 +3,10 @@
 #include "absl/hash/hash.h"
 
 #include <algorithm>
+#include <cmath>
+#include <string_view>
 #include <tuple>
+#include <vector>
 
 namespace toucan::placement {
 
@@ -18,14 +21,115 @@
 constexpr uint32_t MaxIdleReplacements = 3;
 // Time after a refusal in which nothing is borrowed and connections are opened one at a time. A
 // target drops the connections of a lost machine within 3 s.
-constexpr absl::Duration RefusalBackoff = absl::Seconds(3);
+constexpr absl::Duration RefusalPause = absl::Seconds(3);
 
 // The instances that may borrow are selected anew in each interval, which spans a few transactions
 // of usual length.
 constexpr absl::Duration BorrowSelectionInterval = absl::Seconds(2);
 
+// Least share of the connections at a target that no instance retains while they are scarce.
+constexpr uint32_t ScarceReserveDivisor = 3;
+// CPU time assumed for an instance whose row does not state it: that of a small instance.
+constexpr uint32_t AssumedMilliCores = 100;
+// First mean delay after a refused connection; doubled with each further refusal.
+constexpr absl::Duration RefusalBackoffMin = absl::Milliseconds(100);
+// Connections that may be opened at the same time while they are scarce, and most connections of
+// one instance to one target. The second one serves other callers during a transaction.
+constexpr uint32_t ScarceOpening = 2;
+
+// Weight of one sample in the average time of opening a connection.
+constexpr double ConnectTimeWeight = 0.2;
+constexpr absl::Duration ConnectTimeHalfLife = absl::Seconds(3);
+// 12 ms of a slot for the session, and two round trips of 3 or 40 ms.
+constexpr absl::Duration AssumedNearConnectTime = absl::Milliseconds(20);
+constexpr absl::Duration AssumedFarConnectTime = absl::Milliseconds(95);
+
+// Finalizer of SplitMix64, which spreads similar inputs over all bits.
+uint64_t mix(uint64_t X) {
+  X += 0x9E3779B97F4A7C15;
+  X = (X ^ (X >> 30)) * 0xBF58476D1CE4E5B9;
+  X = (X ^ (X >> 27)) * 0x94D049BB133111EB;
+  return X ^ (X >> 31);
+}
+
+// FNV-1a. absl::Hash differs between processes, but all instances must compute the same value.
+uint64_t stableHash(std::string_view Target, std::string_view Instance) {
+  uint64_t Hash = 0xCBF29CE484222325;
+  auto Add = [&Hash](std::string_view Text) {
+    for (char C : Text)
+      Hash = (Hash ^ static_cast<unsigned char>(C)) * 0x100000001B3;
+    Hash = (Hash ^ 0xFF) * 0x100000001B3; // no character of an id
+  };
+  Add(Target);
+  Add(Instance);
+  return mix(Hash);
+}
+
+// Maps a hash to the open interval (0, 1).
+double unitInterval(uint64_t Hash) {
+  constexpr double Steps = 9007199254740992.0; // 2^53
+  return (static_cast<double>(Hash >> 11) + 0.5) / Steps;
+}
+
 } // namespace
 
+bool connectionsScarce(uint32_t Limit, size_t Instances) {
+  return Limit < Instances + ControlReserve;
+}
+
+uint32_t retainedConnections(uint32_t Limit) {
+  uint32_t Reserve = (Limit + ScarceReserveDivisor - 1) / ScarceReserveDivisor;
+  return Limit - std::min(Limit, std::max(Reserve, ControlReserve));
+}
+
+std::set<InstanceId> retainingInstances(const TargetId &Target,
+                                        std::span<const RetentionCandidate> Live, uint32_t Count) {
+  struct Ranked {
+    Distance To;
+    double Score; // lowest first
+    const InstanceId *Id;
+  };
+  std::vector<Ranked> All;
+  All.reserve(Live.size());
+  for (const RetentionCandidate &C : Live) {
+    double Weight = C.MilliCores > 0 ? C.MilliCores : AssumedMilliCores;
+    double Score = -std::log(unitInterval(stableHash(Target.Value, C.Id.Value))) / Weight;
+    All.push_back({.To = C.DistanceToTarget, .Score = Score, .Id = &C.Id});
+  }
+  std::sort(All.begin(), All.end(), [](const Ranked &A, const Ranked &B) {
+    return std::tie(A.To, A.Score, *A.Id) < std::tie(B.To, B.Score, *B.Id);
+  });
+  std::set<InstanceId> Out;
+  for (size_t I = 0; I < std::min<size_t>(Count, All.size()); ++I)
+    Out.insert(*All[I].Id);
+  return Out;
+}
+
+void ConnectTime::onOpened(absl::Duration Elapsed, Instant Now) {
+  double Weight = std::max(ConnectTimeWeight, 1.0 / static_cast<double>(++this->Count));
+  this->AverageMs += Weight * (absl::ToDoubleMilliseconds(Elapsed) - this->AverageMs);
+  this->LastOpened = Now;
+}
+
+absl::Duration ConnectTime::average(Distance To, Instant Now) const {
+  absl::Duration Assumed =
+      To == Distance::OtherRegion ? AssumedFarConnectTime : AssumedNearConnectTime;
+  if (this->Count == 0)
+    return Assumed;
+  double Decay = std::exp2(-absl::FDivDuration(Now - this->LastOpened, ConnectTimeHalfLife));
+  return absl::Milliseconds(this->AverageMs) * Decay + Assumed * (1 - Decay);
+}
+
+absl::Duration RefusalBackoff::onRefused() {
+  absl::Duration Mean = RefusalBackoffMin;
+  for (uint32_t I = 0; I < this->Refusals && Mean < RefusalBackoffMax; ++I)
+    Mean *= 2;
+  ++this->Refusals;
+  // Between half and one and a half of the mean.
+  double Jitter = 0.5 + unitInterval(mix(this->Seed ^ mix(++this->Attempts)));
+  return std::min(Mean, RefusalBackoffMax) * Jitter;
+}
+
 uint32_t connectionShare(uint32_t Limit, size_t Instances) {
   uint32_t Shared = Limit > ControlReserve ? Limit - ControlReserve : 1;
   return std::max<uint32_t>(1, Shared / static_cast<uint32_t>(std::max<size_t>(1, Instances)));
@@ -33,6 +137,7 @@
 
 void ConnectionLimit::setLimit(uint32_t Limit, size_t Instances) {
   this->Share = connectionShare(Limit, Instances);
+  this->Scarce = connectionsScarce(Limit, Instances);
   double Allocated = static_cast<double>(Instances) * this->Share + ControlReserve;
   double Rest = std::max(0.0, static_cast<double>(Limit) - Allocated);
   this->UnsharedPerInstance = Rest / static_cast<double>(std::max<size_t>(1, Instances));
@@ -48,8 +153,8 @@
 }
 
 void ConnectionLimit::onRefused(Instant Now) {
-  this->SerialOpenUntil = Now + RefusalBackoff;
-  this->BorrowFrom = std::max(this->BorrowFrom, Now + RefusalBackoff);
+  this->SerialOpenUntil = Now + RefusalPause;
+  this->BorrowFrom = std::max(this->BorrowFrom, Now + RefusalPause);
 }
 
 void ConnectionLimit::onPromoted(Instant Now) {
@@ -57,13 +162,30 @@
   this->BorrowFrom = std::max(this->BorrowFrom, Now + PromotedBorrowDelay);
 }
 
+uint32_t ConnectionLimit::keptOpen() const {
+  if (this->Scarce)
+    return this->Retains ? 1 : 0;
+  return this->Share;
+}
+
+// After a refusal, other instances wait for the connections that this one does not use.
+absl::Duration ConnectionLimit::spareIdleLimit(Instant Now) const {
+  if (!this->Scarce)
+    return SpareIdleLimit;
+  return Now < this->SerialOpenUntil ? absl::ZeroDuration() : OnDemandIdleLimit;
+}
+
 uint32_t ConnectionLimit::maxOpening(Instant Now) const {
-  return Now < this->SerialOpenUntil ? 1 : this->Share;
+  if (Now < this->SerialOpenUntil)
+    return 1;
+  return this->Scarce ? ScarceOpening : this->Share;
 }
 
 uint32_t ConnectionLimit::maxWithBorrowing(Instant Now, uint32_t IdleInTransaction) const {
   uint32_t Replaced = this->Share + std::min(IdleInTransaction, MaxIdleReplacements);
-  if (Now < this->BorrowFrom || (this->Contended && !this->selectedToBorrow(Now)))
+  // Scarce connections are open only while statements need them, so that no selection is needed.
+  bool Selected = !this->Contended || this->Scarce || this->selectedToBorrow(Now);
+  if (Now < this->BorrowFrom || !Selected)
     return Replaced;
   return Replaced + BorrowCount;
 }
--- a/src/placement/queue.cpp
+++ b/src/placement/queue.cpp
@@ -52,7 +52,7 @@
   if (W.Transaction)
     Work += Load.TransactionHoldTime * static_cast<double>(Load.WaitingTransactions);
   uint32_t Connections = std::max(1U, Load.Connections);
-  absl::Duration Wait = Work / Connections;
+  absl::Duration Wait = Load.ConnectionDelay + Work / Connections;
   // If transactions hold all connections, each is assumed to have half of its time left, and the
   // expected time until the first one ends is that divided by the number of connections.
   if (Load.HeldByTransactions >= Connections)
--- a/src/placement/queue.h
+++ b/src/placement/queue.h
@@ -52,6 +52,7 @@
   uint32_t HeldByTransactions = 0;    // number of Connections held by transactions
   absl::Duration SingleHoldTime;      // average time that a single statement holds a connection
   absl::Duration TransactionHoldTime; // average time that a transaction holds one
+  absl::Duration ConnectionDelay;     // time until a first connection is open
   // Time when the service is expected to have a primary again; infinite past if it has one,
   // infinite future if the time is not known.
   Instant PrimaryExpectedAt = absl::InfinitePast();
