Freshness samples shared within a data centre

Cause: each instance sampled the primary's position of each service, so that the proxy's own queries grew with the product of instances and services: 101,729 queries in 34 s with 122 instances and 8 services. An instance without a connection to the primary asked a witness all the same. Change: where a target accepts fewer connections than there are instances, one instance of a data centre, by rendezvous hashing weighted by CPU time, samples a service and answers the others (src/placement/samplers, src/gateway/samples). Only positions with evidence of the sampler itself are answered; the age is counted from the time of the request, and samples of an older term, or of evidence with fewer witnesses, are not used. Without an answer in 100 ms the instance samples itself, and the next instance in order becomes the sampler. A witness is asked only together with the primary. No existing test was changed.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -42,6 +42,16 @@
           InLoop, Protocol, Counters, this->Peers,
           [this](const catalog::ServiceName &Service) { return this->router(Service); },
           this->Options.Seed),
+      Samples(
+          Counters,
+          {.Self = this->Options.Self,
+           .Centre = this->Options.Location.Centre,
+           .MilliCores = this->Options.MilliCores,
+           .FirstRequest = this->Options.Incarnation},
+          [this](const InstanceId &To, proto::Envelope Message) {
+            return this->Peers.send(To, std::move(Message));
+          },
+          [this](const catalog::ServiceName &Service) { return this->router(Service); }),
       Groups(InLoop, Rows, absl::Milliseconds(this->Options.Seed % SaveJitterMs),
              this->Options.GroupGrowthDelay),
       Claims(Rows, this->Options.Self), Promotions(Promotions), Reader(Reader),
@@ -67,7 +77,16 @@
     for (auto &[Name, S] : this->Services)
       S.Router->setLimits(S.Router->limits(), this->Instances.aliveCount());
     this->Peers.setPeers(Alive);
+    this->Samples.setInstances(Alive);
   };
+  using Kind = PeerLink::Kind;
+  this->Peers.handle(Kind::kSampleRequest,
+                     [this](const InstanceId &From, const proto::Envelope &M) {
+                       this->Samples.onRequest(From, M.sample_request(), monotonicNow());
+                     });
+  this->Peers.handle(Kind::kSampleReply, [this](const InstanceId &From, const proto::Envelope &M) {
+    this->Samples.onReply(From, M.sample_reply(), monotonicNow());
+  });
   this->Instances.start({.Endpoint = this->Peers.endpoint(),
                          .Incarnation = this->Peers.incarnation(),
                          .Centre = this->Options.Location.Centre,
@@ -341,6 +360,15 @@
     this->OnReadinessChange(NowReady);
 }
 
+void Gateway::tickSamples(Instant Now) {
+  if (!this->Peers.enabled())
+    return;
+  SharedSamples::Sources All;
+  for (auto &[Name, S] : this->Services)
+    All.emplace_back(Name, S.Router.get());
+  this->Samples.tick(All, Now);
+}
+
 void Gateway::tick() {
   Instant Now = this->InLoop.now();
   if (Now - this->LastTick > StallLimit) {
@@ -352,6 +380,7 @@
   this->LastTick = Now;
   for (const catalog::TargetChange &Change : this->Targets.expire(Now))
     this->applyChange(Change);
+  this->tickSamples(Now);
   for (auto &[Name, S] : this->Services) {
     S.Router->setGroupSize(this->Groups.size(Name));
     S.Router->tick();
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -11,6 +11,7 @@
 #include "gateway/peers.h"
 #include "gateway/readiness.h"
 #include "gateway/router.h"
+#include "gateway/samples.h"
 #include "gateway/session.h"
 
 #include <functional>
@@ -87,6 +88,7 @@
   void updateWatch(Caller &C);
   void remove(SessionId Id);
   void tick();
+  void tickSamples(Instant Now);
   void applyChange(const catalog::TargetChange &Change);
   void noteReadability(const catalog::Registration &R);
   ServiceState &service(const catalog::ServiceName &Name);
@@ -113,6 +115,7 @@
   InstanceRegistry Instances;
   PeerLink Peers;
   LeaderObservers Observers;
+  SharedSamples Samples;
   GroupSizes Groups;
   promotion::Claimer Claims;
   Promoter &Promotions;
--- a/src/gateway/pool.cpp
+++ b/src/gateway/pool.cpp
@@ -115,6 +115,11 @@
   return Best;
 }
 
+TargetLink *TargetPool::commandLink() {
+  TargetLink *Link = this->takeAnyIdle();
+  return Link ? Link : this->controlLink();
+}
+
 uint32_t TargetPool::openingLinks() const {
   return static_cast<uint32_t>(
       std::count_if(this->Links.begin(), this->Links.end(), [](const auto &L) {
--- a/src/gateway/pool.h
+++ b/src/gateway/pool.h
@@ -45,6 +45,8 @@
                        const absl::flat_hash_map<std::string, std::string> &Values);
   // Returns an idle link of any account, for the proxy's own commands; null if none is idle.
   TargetLink *takeAnyIdle();
+  // As takeAnyIdle(), or the control link, which may still be opening; null if it cannot be opened.
+  TargetLink *commandLink();
   uint32_t idleLinks() const;
   uint32_t openLinks() const { return static_cast<uint32_t>(this->Links.size()); }
   uint32_t running() const;
--- a/src/gateway/router.cpp
+++ b/src/gateway/router.cpp
@@ -12,12 +12,7 @@
 
 namespace {
 
-// The primary's position is sampled when the newest sample is older than this and reads of bounded
-// age arrive. Well below the shortest useful age bound.
-constexpr absl::Duration SampleMaxAge = absl::Milliseconds(400);
 constexpr absl::Duration SampleTimeout = absl::Milliseconds(500);
-// Sampling continues for this time after the last read of bounded age.
-constexpr absl::Duration BoundedReadWindow = absl::Seconds(3);
 
 constexpr std::array<std::string_view, 4> RejectionNames = {"queue_full", "no_primary",
                                                             "no_witness", "started_late"};
@@ -252,8 +247,12 @@
 }
 
 void ServiceRouter::noteCovered(const std::optional<placement::CoveredPosition> &Covered) {
-  if (Covered)
-    this->Positions.addSample(Covered->At, Covered->CoversUntil);
+  if (!Covered)
+    return;
+  this->Positions.addSample(Covered->At, Covered->CoversUntil);
+  this->OwnSample = {.At = Covered->At,
+                     .CoversUntil = Covered->CoversUntil,
+                     .Witnesses = this->Lead.witnessesNeeded()};
 }
 
 void ServiceRouter::onTargetStatus(const TargetId &Id, const TargetStatus &Status, Instant SentAt) {
@@ -342,6 +341,8 @@
   W.Wait.NeedsPrimary = !W.MaxAge.has_value();
   if (W.MaxAge)
     this->LastBoundedRead = Now;
+  if (W.MaxAge && *W.MaxAge < placement::ShortestSharedBound)
+    this->LastShortBound = Now;
   // Reads of bounded age also need the primary while no sample of its position is available.
   bool OnlyPrimary = W.Wait.NeedsPrimary || !this->readFloor(W);
   if (OnlyPrimary && W.NeedsLeadProof && this->primary() && !this->Prover.enoughWitnesses()) {
@@ -489,18 +490,20 @@
 void ServiceRouter::samplePrimary() {
   Instant Now = this->InLoop.now();
   TargetPool *P = this->primary();
-  if (!P || Now - this->LastBoundedRead > BoundedReadWindow || !this->usable(*P) ||
-      Now - this->Positions.newestSampleTime() < SampleMaxAge ||
-      Now - this->SampleSentAt < SampleMaxAge / 2)
+  if (!P || !this->usable(*P) ||
+      !placement::ownSampleDue(this->sampleTimes(), this->SampledElsewhere, Now))
     return;
   this->SampleSentAt = Now;
-  this->Prover.ask(Now);
   TargetId Id = P->entry().Id;
-  TargetLink *Link = P->takeAnyIdle();
+  // A sampler needs a connection even where there are fewer of them than instances.
+  bool ForOthers = Now - this->SampleAsked <= placement::BoundedReadWindow;
+  TargetLink *Link = ForOthers ? P->commandLink() : P->takeAnyIdle();
   if (!Link) {
     P->openSpare();
     return;
   }
+  this->Counters.add("primary_samples_sent");
+  this->Prover.ask(Now);
   std::vector<LinkRequest> Requests;
   SentRequest Sent{.At = Now, .To = P->lead()};
   Requests.push_back({.Request = {.Command = TargetCommand::Begin},
@@ -519,6 +522,31 @@
   Link->submit(std::move(Requests), Now + SampleTimeout);
 }
 
+// Each instance can hold a connection to each target unless there are fewer of them than instances.
+bool ServiceRouter::sharesSamples() const {
+  bool Scarce = this->Limits.MaxConnections > 0 && this->Instances > this->Limits.MaxConnections;
+  Instant ShortUntil = this->LastShortBound + placement::BoundedReadWindow;
+  return Scarce && this->InLoop.now() > ShortUntil;
+}
+
+placement::SampleTimes ServiceRouter::sampleTimes() const {
+  return {.Newest = this->Positions.newestSampleTime(),
+          .NewestOwn = this->OwnSample ? this->OwnSample->CoversUntil : absl::InfinitePast(),
+          .Sent = this->SampleSentAt,
+          .BoundedRead = this->LastBoundedRead,
+          .Asked = this->SampleAsked};
+}
+
+// The position is no evidence for a read at the primary, which needs a proof of its own.
+bool ServiceRouter::onSharedSample(const placement::SharedSample &Sample) {
+  Term Newest = std::max(this->NewestTerm, this->Lead.newestTerm());
+  if (!placement::usable(Sample, Newest, this->Lead.witnessesNeeded()))
+    return false;
+  this->Positions.addSample(Sample.At, Sample.CoversUntil);
+  this->dispatch();
+  return true;
+}
+
 void ServiceRouter::tick() {
   for (auto &[Id, P] : this->Pools) {
     P->tick();
--- a/src/gateway/router.h
+++ b/src/gateway/router.h
@@ -6,6 +6,7 @@
 #include "gateway/commits.h"
 #include "gateway/pool.h"
 #include "gateway/prover.h"
+#include "gateway/samples.h"
 
 #include "absl/container/flat_hash_map.h"
 
@@ -67,7 +68,7 @@
 // log has a commit.
 placement::Lead confirmedLead(const SentRequest &Sent, const Answer &Reply);
 
-class ServiceRouter : public PoolOwner {
+class ServiceRouter : public PoolOwner, public SampleSource {
 public:
   ServiceRouter(Loop &InLoop, Codec &Protocol, Metrics &Counters,
                 const InstanceLocation &OwnLocation, catalog::ServiceName Name, uint64_t Seed);
@@ -135,6 +136,13 @@
   // Longest time for which a leaving primary still gets work.
   void setLeavingLimit(absl::Duration Limit) { this->LeavingLimit = Limit; }
 
+  bool sharesSamples() const override;
+  placement::SampleTimes sampleTimes() const override;
+  std::optional<placement::SharedSample> ownSample() const override { return this->OwnSample; }
+  void onSampleAsked(Instant Now) override { this->SampleAsked = Now; }
+  bool onSharedSample(const placement::SharedSample &Sample) override;
+  void setSampledElsewhere(bool Elsewhere) override { this->SampledElsewhere = Elsewhere; }
+
   void onPoolReady(TargetPool &Pool) override;
   void onPoolPosition(TargetPool &Pool, LogPosition At, Instant SentAt) override;
 
@@ -189,7 +197,12 @@
   Instant PrimaryUnknownSince;
   Instant PrimaryExpected = absl::InfiniteFuture();
   Instant SampleSentAt = absl::InfinitePast();
+  Instant SampleAsked = absl::InfinitePast(); // by another instance
+  bool SampledElsewhere = false;
+  // The newest covered position by this instance's own evidence.
+  std::optional<placement::SharedSample> OwnSample;
   Instant LastBoundedRead = absl::InfinitePast();
+  Instant LastShortBound = absl::InfinitePast(); // last one below ShortestSharedBound
   absl::Duration LeavingLimit = absl::Seconds(5);
   std::map<TargetId, Instant> LeavingSince;
   TimerId ExpiryTimer;
--- a/src/placement/placement.h
+++ b/src/placement/placement.h
@@ -9,5 +9,6 @@
 #include "placement/freshness.h"
 #include "placement/lead.h"
 #include "placement/queue.h"
+#include "placement/samplers.h"
 
 #endif // TOUCAN_PLACEMENT_PLACEMENT_H
