Directory of client accounts and digests of their keys

Cause: accounts and keys are needed by the decoder, the session and the rate limits. Change: library src/accounts; catalog::Configuration holds a Directory, catalog::Route tells whether a key is required. Nothing reads them yet. Result: not built yet; committed early so that other parts can include the header.

--- a/src/catalog/routes.h
+++ b/src/catalog/routes.h
@@ -2,6 +2,7 @@
 #ifndef TOUCAN_CATALOG_ROUTES_H
 #define TOUCAN_CATALOG_ROUTES_H
 
+#include "accounts/accounts.h"
 #include "base/base.h"
 
 #include "absl/container/flat_hash_map.h"
@@ -29,6 +30,7 @@
   absl::Duration StatementTimeout; // time limit of one statement
   absl::Duration LatencyObjective; // target latency of a whole operation
   int Priority = 0;                // 0 is the most urgent
+  bool KeyRequired = false;        // callers must give the key of an account
 };
 
 struct ServiceLimits {
@@ -42,6 +44,7 @@
   absl::flat_hash_map<DatabaseName, Route> Routes;
   absl::flat_hash_map<ServiceName, ServiceLimits> Services;
   absl::Duration TransactionIdleLimit;
+  accounts::Directory Accounts;
 
   const Route *route(const DatabaseName &Name) const;
 };
