Sessions identify client accounts by their key

Cause: the configuration of some deployments has client accounts; the proxy served every caller and told targets one account for all connections. The session resolves its account at its start and at each configuration. A withdrawn key ends the session after its running statement, a moved one rolls its transaction back.

--- a/src/accounts/accounts.cpp
+++ b/src/accounts/accounts.cpp
@@ -5,6 +5,7 @@
 #include <openssl/hmac.h>
 #include <openssl/rand.h>
 
+#include <algorithm>
 #include <cmath>
 #include <cstdlib>
 #include <utility>
@@ -27,22 +28,21 @@
   return Value;
 }
 
-// A name is a word of the line protocol. Bytes of UTF-8 sequences are allowed.
+bool validAmount(double Value) { return std::isfinite(Value) && Value >= 0 && Value <= MaxRate; }
+
+} // namespace
+
+// Bytes of UTF-8 sequences are allowed.
 bool validName(std::string_view Name) {
+  constexpr unsigned char Delete = 0x7f;
   if (Name.empty() || Name.size() > MaxNameBytes)
     return false;
-  for (char C : Name) {
+  return std::all_of(Name.begin(), Name.end(), [](char C) {
     auto Byte = static_cast<unsigned char>(C);
-    if (Byte <= ' ' || Byte == 0x7f)
-      return false;
-  }
-  return true;
+    return Byte > ' ' && Byte != Delete;
+  });
 }
 
-bool validAmount(double Value) { return std::isfinite(Value) && Value >= 0 && Value <= MaxRate; }
-
-} // namespace
-
 KeyDigest KeyDigest::of(std::string_view Key) {
   KeyDigest Out;
   unsigned Length = 0;
--- a/src/accounts/accounts.h
+++ b/src/accounts/accounts.h
@@ -65,6 +65,8 @@
   KeyTaken,      // another account has one of the keys
 };
 
+// Whether Name can name an account: it is a word of the line protocol.
+bool validName(std::string_view Name);
 // Completes the sentence "FIELD ...".
 std::string_view problemText(Problem P);
 
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -118,12 +118,23 @@
 void Gateway::onConfiguration(catalog::Configuration New) {
   RulesVersion Version = New.Version;
   size_t Routes = New.Routes.size();
+  size_t Accounts = New.Accounts.accounts().size();
+  bool HadAccounts = this->Routes.hasConfiguration() && !this->Routes.current().Accounts.empty();
   if (!this->Routes.apply(std::move(New)))
     return;
   LogEvent(LogLevel::Info, "configuration_applied")
       .kv("version", Version.Value)
-      .kv("routes", Routes);
+      .kv("routes", Routes)
+      .kv("accounts", Accounts);
+  if (HadAccounts && Accounts == 0)
+    LogEvent(LogLevel::Warn, "keys_not_required").kv("version", Version.Value);
   this->Counters.set("configuration_version", static_cast<int64_t>(Version.Value));
+  this->Counters.set("accounts", static_cast<int64_t>(Accounts));
+  std::vector<std::shared_ptr<Session>> Sessions;
+  for (auto &[Id, C] : this->Callers)
+    Sessions.push_back(C->CallerSession);
+  for (const std::shared_ptr<Session> &S : Sessions)
+    S->updateAccount();
   for (const auto &[Name, Limits] : this->Routes.current().Services) {
     ServiceRouter &Router = *this->service(Name).Router;
     Router.setLimits(Limits, this->Instances.aliveCount());
@@ -135,10 +146,7 @@
     }
     this->updateGroupSize(Name);
   }
-  std::vector<std::shared_ptr<Session>> Waiting;
-  for (auto &[Id, C] : this->Callers)
-    Waiting.push_back(C->CallerSession);
-  for (const std::shared_ptr<Session> &S : Waiting)
+  for (const std::shared_ptr<Session> &S : Sessions)
     S->onConfiguration();
   this->updateReadiness();
 }
--- a/src/gateway/session.cpp
+++ b/src/gateway/session.cpp
@@ -49,28 +49,83 @@
   this->processMessages();
 }
 
+void Session::updateAccount() {
+  if (!this->Started || this->Closed || this->KeyWithdrawn)
+    return;
+  std::optional<AccountName> New = this->accountIn(*this->Deps.Host.configuration());
+  if (New && *New == this->Account)
+    return;
+  if (New) {
+    if (this->Deps.Log.allows(this->Deps.InLoop.now()))
+      LogEvent(LogLevel::Info, "session_account_changed")
+          .kv("session", this->Id.Value)
+          .kv("former_account", this->Account.Value)
+          .kv("account", New->Value);
+    this->Deps.Counters.add("sessions_account_changed");
+    this->Account = *New;
+    this->Tx.AccountChanged = this->Tx.State == TxState::Begun || this->Tx.State == TxState::Open;
+  } else {
+    this->KeyWithdrawn = true;
+  }
+  if (!this->Op || !this->Op->Queued || !(this->KeyWithdrawn || this->Tx.AccountChanged))
+    return;
+  if (ServiceRouter *Router = this->Deps.Host.router(this->Op->Route.Service))
+    Router->cancel(*this->Op->Queued);
+  this->Op->Queued.reset();
+}
+
 void Session::onConfiguration() {
-  if (!this->AwaitsConfiguration)
+  if (this->AwaitsConfiguration) {
+    this->AwaitsConfiguration = false;
+    this->onStart(this->Database);
+    this->processMessages();
     return;
-  this->AwaitsConfiguration = false;
-  this->onStart(this->Database);
-  this->processMessages();
+  }
+  if (this->Closed || !(this->KeyWithdrawn || this->Tx.AccountChanged))
+    return;
+  if (this->Op) {
+    // The first statement of a transaction is sent only after the target has opened it.
+    bool Sent = this->Op->AttemptsInFlight > 0 && this->Tx.State != TxState::Begun;
+    if (!Sent)
+      this->finishOnAccountChange();
+  } else if (this->KeyWithdrawn) {
+    this->endWithKeyWithdrawn();
+  } else {
+    this->Deps.Counters.add("transactions_ended_account_changed");
+    this->leaveTransaction(TxState::Failed);
+    this->Tx.FailureUntold = true;
+  }
+}
+
+std::optional<AccountName> Session::accountIn(const catalog::Configuration &Config) const {
+  if (const accounts::Account *Found = this->Key ? Config.Accounts.byKey(*this->Key) : nullptr)
+    return Found->Name;
+  // A route that is gone exempts nobody, because a transaction may still be open on it.
+  const catalog::Route *R = Config.route(DatabaseName(this->Database));
+  bool Required = R ? R->KeyRequired : !Config.Accounts.empty();
+  return Required ? std::nullopt : std::optional(defaultAccount());
 }
 
 // Processes the messages in order. The next one waits until the current statement is answered. A
 // statement that ends while this function runs, such as one that is refused at once, does not enter
 // it again: the loop below goes on. After some messages other callers are served first.
 void Session::processMessages() {
+  if (this->KeyWithdrawn && !this->Op && !this->Closed) {
+    this->endWithKeyWithdrawn();
+    return;
+  }
   if (this->Processing || this->ContinuesLater)
     return;
   this->Processing = true;
   int Left = MaxMessagesPerRound;
   while (Left > 0 && !this->Closed && !this->Op && !this->AwaitsConfiguration) {
+    size_t Begin = this->Consumed;
     std::optional<CallerMessage> Message =
         this->Deps.Protocol.takeCallerMessage(this->Input, this->Consumed);
     if (!Message)
       break;
     --Left;
+    this->dropKeyText(*Message, Begin);
     this->onMessage(std::move(*Message));
   }
   this->Processing = false;
@@ -87,6 +142,16 @@
   });
 }
 
+void Session::dropKeyText(CallerMessage &Message, size_t Begin) {
+  if (Message.Key.empty())
+    return;
+  if (!this->Started)
+    this->Key = accounts::KeyDigest::of(Message.Key);
+  accounts::wipe(Message.Key.data(), Message.Key.size());
+  Message.Key.clear();
+  accounts::wipe(this->Input.data() + Begin, this->Consumed - Begin);
+}
+
 void Session::onMessage(CallerMessage &&Message) {
   if (Message.Kind == CallerMessageKind::Terminate) {
     this->close();
@@ -120,6 +185,12 @@
                  "unknown_database");
     return;
   }
+  std::optional<AccountName> Found = this->accountIn(*Config);
+  if (!Found) {
+    this->refuse({.Code = ErrorCode::UnknownKey, .Text = ""}, "unknown_key");
+    return;
+  }
+  this->Account = std::move(*Found);
   this->Started = true;
   std::string Out;
   this->Deps.Protocol.appendSessionReady(Out);
@@ -140,7 +211,10 @@
 void Session::onQuery(const std::string &Id, Statement &&Stmt) {
   if (this->Tx.State == TxState::Failed && Stmt.Kind != StatementKind::Commit &&
       Stmt.Kind != StatementKind::Rollback) {
-    this->replyError(ErrorCode::Malformed, "the transaction has failed");
+    if (std::exchange(this->Tx.FailureUntold, false))
+      this->replyError(ErrorCode::Aborted, "the transaction was rolled back");
+    else
+      this->replyError(ErrorCode::Malformed, "the transaction has failed");
     return;
   }
   switch (Stmt.Kind) {
@@ -200,6 +274,7 @@
                        .Id = Id,
                        .Stmt = std::move(Stmt),
                        .Kind = Kind,
+                       .Account = this->Account,
                        .Route = std::move(Route),
                        .Arrived = Now};
   if (this->Stopping) {
@@ -235,6 +310,7 @@
   }
   bool ReadsOnly = this->Tx.State == TxState::None ? O.Kind == OpKind::Read : this->Tx.ReadOnly;
   ConnectionRequest W;
+  W.Account = O.Account;
   W.Wait.Priority = O.Route.Priority;
   W.Wait.Transaction = this->Tx.State != TxState::None;
   W.Wait.Arrived = O.Arrived;
@@ -388,7 +464,7 @@
 // Sends a read whose answer is overdue to a second target. The first answer is used.
 void Session::hedge(uint64_t Number) {
   if (!this->isCurrent(Number) || this->Op->AttemptsInFlight != 1 || this->Op->Queued ||
-      this->Op->Hedged)
+      this->Op->Hedged || this->KeyWithdrawn)
     return;
   this->Op->Hedged = true;
   this->Deps.Counters.add("reads_hedged");
@@ -533,6 +609,10 @@
   Operation &O = *this->Op;
   if (O.AttemptsInFlight > 0 || O.Queued)
     return; // another attempt is in flight or queued
+  if (this->KeyWithdrawn) {
+    this->finishOnAccountChange();
+    return;
+  }
   Instant Now = this->Deps.InLoop.now();
   this->Deps.Counters.add(counterName("statements_retried_", Cause));
   LogEvent(LogLevel::Debug, "statement_retried")
@@ -614,6 +694,10 @@
 }
 
 void Session::finish(Answer Reply) {
+  if (this->Tx.State == TxState::Open && this->Tx.AccountChanged) {
+    this->finishOnAccountChange();
+    return;
+  }
   if (Reply.Error) {
     this->logOutcome(errorName(Reply.Error->Code), "target");
     this->Deps.Counters.add(counterName("statements_failed_", errorName(Reply.Error->Code)));
@@ -638,6 +722,18 @@
   this->processMessages();
 }
 
+// A statement of a transaction that is rolled back leaves no effect, also if it ran.
+void Session::finishOnAccountChange() {
+  if (this->Op->Kind == OpKind::Commit)
+    this->leaveTransaction(TxState::None);
+  if (!this->KeyWithdrawn)
+    this->finishError(ErrorCode::Aborted, "the transaction was rolled back", "account_changed");
+  else if (this->Op->MayHaveRun)
+    this->finishNotServed("key_withdrawn");
+  else
+    this->finishError(ErrorCode::UnknownKey, "", "key_withdrawn");
+}
+
 // "Not run" is answered only if no target can have run the statement.
 void Session::finishNotServed(std::string_view Cause) {
   if (this->Op->MayHaveRun)
@@ -699,6 +795,10 @@
         .kv("cause", Cause)
         .kv("configuration", Config ? Config->Version.Value : 0);
   }
+  this->refuseAndClose(Error);
+}
+
+void Session::refuseAndClose(const StatementError &Error) {
   std::string Out;
   this->Deps.Protocol.appendSessionRefused(Out, Error);
   this->sendToCaller(std::move(Out));
@@ -706,6 +806,18 @@
   this->Deps.Host.end(this->Id);
 }
 
+void Session::endWithKeyWithdrawn() {
+  this->Deps.Counters.add("sessions_ended_key_withdrawn");
+  if (this->Deps.Log.allows(this->Deps.InLoop.now()))
+    LogEvent(LogLevel::Info, "session_ended")
+        .kv("session", this->Id.Value)
+        .kv("database", this->Database)
+        .kv("account", this->Account.Value)
+        .kv("cause", "key_withdrawn")
+        .kv("configuration", this->Deps.Host.configuration()->Version.Value);
+  this->refuseAndClose({.Code = ErrorCode::UnknownKey, .Text = ""});
+}
+
 void Session::close() {
   if (std::exchange(this->Closed, true))
     return;
--- a/src/gateway/session.h
+++ b/src/gateway/session.h
@@ -38,7 +38,12 @@
   Session(SessionDependencies Deps, SessionId Id);
 
   void onBytes(std::string_view Bytes);
-  // The configuration is known: continues a session start that waits for it.
+  // A configuration was applied. Determines the account and withdraws a statement from the queue
+  // that must not run under it. Called for all sessions before anything else reacts to the
+  // configuration, because the end of one session can start the statement of another.
+  void updateAccount();
+  // After updateAccount(): ends the session or its transaction if the account requires it, and
+  // continues a session start that waits for the configuration.
   void onConfiguration();
   // Sends Error to the caller and ends the session. Cause is for the log and the counters.
   void refuse(const StatementError &Error, std::string_view Cause);
@@ -76,6 +81,8 @@
     TargetLink *Link = nullptr;
     TargetPool *Pool = nullptr;
     TimerId IdleTimer;
+    bool AccountChanged = false; // begun under another account: must be rolled back
+    bool FailureUntold = false;  // Failed, but no answer has told the caller
   };
   enum class OpKind : uint8_t { Read, Write, Commit };
   // The current statement.
@@ -84,6 +91,7 @@
     std::string Id; // given by the caller
     Statement Stmt;
     OpKind Kind = OpKind::Read;
+    AccountName Account; // of the session when the statement arrived
     catalog::Route Route;
     Instant Arrived;
     Instant AnswerDeadline;
@@ -103,6 +111,10 @@
 
   void processMessages();
   void onMessage(CallerMessage &&Message);
+  // Replaces the text of the key by its digest. The message began at offset Begin of Input.
+  void dropKeyText(CallerMessage &Message, size_t Begin);
+  // The account that the key identifies in Config; empty if the key is unknown and required.
+  std::optional<AccountName> accountIn(const catalog::Configuration &Config) const;
   void onStart(const std::string &Database);
   void onQuery(const std::string &Id, Statement &&Stmt);
   void beginTransaction(const Statement &Stmt);
@@ -131,6 +143,11 @@
 
   void finish(Answer Reply);
   void finishError(ErrorCode Code, std::string_view Text, std::string_view Cause);
+  // Ends a statement that is not sent, or whose transaction is rolled back, because the session's
+  // account has changed or its key was withdrawn.
+  void finishOnAccountChange();
+  void endWithKeyWithdrawn();
+  void refuseAndClose(const StatementError &Error);
   // Ends a statement that is not sent to any further target.
   void finishNotServed(std::string_view Cause);
   void replySuccess();
@@ -151,6 +168,9 @@
   bool Processing = false;     // processMessages() is running
   bool ContinuesLater = false; // processMessages() is posted to the loop
   std::string Database;
+  std::optional<accounts::KeyDigest> Key; // empty if the caller gave none
+  AccountName Account = defaultAccount();
+  bool KeyWithdrawn = false; // the session ends as soon as the current statement is answered
   bool Started = false;
   bool AwaitsConfiguration = false;
   bool Stopping = false; // no statement is started any more
--- a/src/gateway/session_transaction.cpp
+++ b/src/gateway/session_transaction.cpp
@@ -180,8 +180,8 @@
   if (Code == ErrorCode::ReadOnly)
     Router->onPrimaryDenied(*Pool);
   // The statement was not run and the transaction is still open, so it can be sent again.
-  if (Code == ErrorCode::Busy && Reply->State == TransactionState::Open &&
-      Now + BusyRetryDelay < O.AnswerDeadline) {
+  if (Code == ErrorCode::Busy && Reply->State == TransactionState::Open && !this->KeyWithdrawn &&
+      !this->Tx.AccountChanged && Now + BusyRetryDelay < O.AnswerDeadline) {
     this->Deps.InLoop.at(Now + BusyRetryDelay, [Self = this->weak_from_this(), Number] {
       auto S = Self.lock();
       if (S && S->isCurrent(Number) && S->Op->AttemptsInFlight == 0)
@@ -230,6 +230,7 @@
   TargetLink *Link = std::exchange(this->Tx.Link, nullptr);
   TargetPool *Pool = std::exchange(this->Tx.Pool, nullptr);
   this->Tx.State = Next;
+  this->Tx.AccountChanged = false;
   if (Link && Pool)
     Pool->release(*Link);
 }
--- a/src/statement/statement.cpp
+++ b/src/statement/statement.cpp
@@ -19,6 +19,7 @@
     {"too_many_connections", Verdict::NotRun},
     {"unknown_statement", Verdict::NotRun},
     {"unknown_database", Verdict::NotRun},
+    {"unknown_key", Verdict::NotRun},
     {"malformed", Verdict::NotRun},
     {"too_large", Verdict::NotRun},
     {"aborted", Verdict::NotRun},
--- a/src/statement/statement.h
+++ b/src/statement/statement.h
@@ -44,6 +44,7 @@
   TooManyConnections, // not run: connection limit reached
   UnknownStatement,   // not run: no prepared statement has this name
   UnknownDatabase,    // not run
+  UnknownKey,         // not run: the caller's key identifies no account
   Malformed,          // not run
   TooLarge,           // not run
   Aborted,            // the transaction was rolled back
