Connections are shared fairly among client accounts, and late statements are seen as late

Cause: statements wait in order of arrival within a priority, so that one client account that floods takes the service from all others; and a statement that starts just before its objective is answered after it. Change: placement::FairShare (start-time fair queuing by account) in the order of WaitQueue; the expected wait of a statement counts only what is served before it; a statement counts as late when its answer would be. With one account the order is the former one.

--- a/src/gateway/router.cpp
+++ b/src/gateway/router.cpp
@@ -309,7 +309,7 @@
 }
 
 // Returns the load that a statement arriving now would wait behind.
-placement::QueueLoad ServiceRouter::loadFor(bool NeedsPrimary) {
+placement::QueueLoad ServiceRouter::loadFor(bool NeedsPrimary, const AccountName &Account) {
   Instant Now = this->InLoop.now();
   TargetPool *Primary = this->primary();
   placement::QueueLoad Load;
@@ -328,9 +328,13 @@
     Load.SingleHoldTime /= Load.Connections;
     Load.TransactionHoldTime /= Load.Connections;
   }
+  std::map<AccountName, size_t> Singles;
+  std::map<AccountName, size_t> Transactions;
   for (const auto &[Id, H] : this->Waiting)
     if (!NeedsPrimary || H.Request.Wait.NeedsPrimary)
-      ++(H.Request.Wait.Transaction ? Load.WaitingTransactions : Load.WaitingSingles);
+      ++(H.Request.Wait.Transaction ? Transactions : Singles)[H.Request.Account];
+  Load.WaitingSingles = placement::waitingAhead(Singles, Account);
+  Load.WaitingTransactions = placement::waitingAhead(Transactions, Account);
   Load.PrimaryExpectedAt = Primary ? absl::InfinitePast() : this->PrimaryExpected;
   return Load;
 }
@@ -338,6 +342,7 @@
 WaitingId ServiceRouter::request(ConnectionRequest W) {
   Instant Now = this->InLoop.now();
   W.Wait.Id = WaitingId(this->NextId++);
+  W.Wait.Account = W.Account;
   WaitingId Id = W.Wait.Id;
   W.Wait.NeedsPrimary = !W.MaxAge.has_value();
   if (W.MaxAge)
@@ -348,7 +353,9 @@
     W.OnReject(Rejection::NoWitness);
     return Id;
   }
-  Admission A = placement::admit(W.Wait, this->loadFor(OnlyPrimary), Now);
+  placement::QueueLoad Load = this->loadFor(OnlyPrimary, W.Account);
+  W.Wait.ObjectiveAt = placement::latestStart(Now, W.Wait.ObjectiveAt, Load.SingleHoldTime);
+  Admission A = placement::admit(W.Wait, Load, Now);
   if (A != Admission::Wait) {
     W.OnReject(A == Admission::RejectBusy ? Rejection::QueueFull : Rejection::NoPrimary);
     return Id;
@@ -459,6 +466,8 @@
   Link->HeldByTransaction = H.Request.Wait.Transaction;
   ConnectionRequest W = std::move(H.Request);
   this->Queue.remove(W.Wait.Id);
+  this->Queue.grant(W.Wait, Pool.statistics().averageHoldTime(
+                                W.Wait.Transaction, this->distanceTo(Pool), this->InLoop.now()));
   this->Waiting.erase(W.Wait.Id);
   W.OnGrant({.Link = Link, .Pool = &Pool, .Floor = Floor});
   return true;
--- a/src/gateway/router.h
+++ b/src/gateway/router.h
@@ -143,7 +143,7 @@
     ConnectionRequest Request;
   };
   bool usable(const TargetPool &Pool) const;
-  placement::QueueLoad loadFor(bool NeedsPrimary);
+  placement::QueueLoad loadFor(bool NeedsPrimary, const AccountName &Account);
   bool tryGrant(QueuedRequest &H, std::map<TargetId, uint32_t> &AssignedCounts);
   bool grantAt(QueuedRequest &H, TargetPool &Pool, std::optional<LogPosition> Floor,
                std::map<TargetId, uint32_t> &AssignedCounts);
--- a/src/placement/placement.h
+++ b/src/placement/placement.h
@@ -6,6 +6,7 @@
 #include "placement/choose.h"
 #include "placement/commits.h"
 #include "placement/connections.h"
+#include "placement/fair.h"
 #include "placement/freshness.h"
 #include "placement/lead.h"
 #include "placement/queue.h"
--- a/src/placement/queue.cpp
+++ b/src/placement/queue.cpp
@@ -5,6 +5,16 @@
 
 namespace toucan::placement {
 
+namespace {
+
+// Cost of a waiting statement in the order of the accounts, whose real cost is known only when it
+// is granted.
+constexpr double TypicalHoldMs = 20;
+// A connection held for less than this still costs its account a turn.
+constexpr double MinHoldMs = 1;
+
+} // namespace
+
 void WaitQueue::add(const WaitingStatement &W) {
   auto After = std::upper_bound(
       this->All.begin(), this->All.end(), W,
@@ -16,6 +26,11 @@
   std::erase_if(this->All, [&](const WaitingStatement &W) { return W.Id == Id; });
 }
 
+void WaitQueue::grant(const WaitingStatement &W, absl::Duration Hold) {
+  this->Shares.onGranted(W.Account, std::max(MinHoldMs, absl::ToDoubleMilliseconds(Hold)),
+                         W.Weight);
+}
+
 void WaitQueue::visit(Instant Now, const std::function<bool(const WaitingStatement &)> &Visit) {
   // Visit may change the queue, so a copy is traversed.
   std::vector<WaitingStatement> Order = this->All;
@@ -24,8 +39,27 @@
                      return std::tuple(Now >= A.ObjectiveAt, A.Priority, A.Transaction) <
                             std::tuple(Now >= B.ObjectiveAt, B.Priority, B.Transaction);
                    });
+  // Within an account the due times follow the order above, which is therefore the result where
+  // there is one account only.
+  struct Due {
+    bool Late;
+    int Priority;
+    double At;
+    const WaitingStatement *W;
+  };
+  std::vector<Due> ByShare;
+  absl::flat_hash_map<AccountName, size_t> Seen;
   for (const WaitingStatement &W : Order)
-    if (!Visit(W))
+    ByShare.push_back(
+        {.Late = Now >= W.ObjectiveAt,
+         .Priority = W.Priority,
+         .At = this->Shares.dueAt(W.Account, Seen[W.Account]++, TypicalHoldMs, W.Weight),
+         .W = &W});
+  std::stable_sort(ByShare.begin(), ByShare.end(), [](const Due &A, const Due &B) {
+    return std::tuple(A.Late, A.Priority, A.At) < std::tuple(B.Late, B.Priority, B.At);
+  });
+  for (const Due &D : ByShare)
+    if (!Visit(*D.W))
       return;
 }
 
@@ -60,6 +94,12 @@
   return Wait;
 }
 
+// A statement keeps at least half of its time for waiting, also at a target that was slow lately.
+Instant latestStart(Instant Now, Instant AnswerBy, absl::Duration Hold) {
+  return AnswerBy - std::clamp(Hold, absl::ZeroDuration(),
+                               std::max(absl::ZeroDuration(), (AnswerBy - Now) / 2));
+}
+
 Admission admit(const WaitingStatement &W, const QueueLoad &Load, Instant Now) {
   if (W.NeedsPrimary && Load.PrimaryExpectedAt != absl::InfiniteFuture() &&
       Load.PrimaryExpectedAt > W.StartBefore)
--- a/src/placement/queue.h
+++ b/src/placement/queue.h
@@ -2,7 +2,7 @@
 #ifndef TOUCAN_PLACEMENT_QUEUE_H
 #define TOUCAN_PLACEMENT_QUEUE_H
 
-#include "base/base.h"
+#include "placement/fair.h"
 
 #include <cstdint>
 #include <functional>
@@ -17,21 +17,26 @@
   WaitingId Id;
   int Priority = 0; // 0 is the most urgent
   Instant Arrived;
-  Instant ObjectiveAt; // an answer after this time misses the latency objective
+  Instant ObjectiveAt; // a statement that starts later misses its latency objective
   Instant StartBefore; // rejected at this time: an answer could no longer arrive in time
   bool NeedsPrimary = false;
   bool Transaction = false; // holds a connection for several statements and the pauses between them
+  AccountName Account = defaultAccount();
+  double Weight = 1; // share of the account among the accounts that wait
 };
 
 // Waiting statements of one service. Statements that can still meet their objective come first,
-// then the order is by priority, single statements before transactions, and time of arrival. Load
-// patterns: a load peak longer than the queue can absorb, where plain arrival order would serve
-// only statements that are already late; and a primary with one connection per instance, which a
-// transaction holds ten times longer than a single statement.
+// then the order is by priority, by fair share among the client accounts, single statements before
+// transactions, and time of arrival. Load patterns: a load peak longer than the queue can absorb,
+// where plain arrival order would serve only statements that are already late; and a primary with
+// one connection per instance, which a transaction holds ten times longer than a single statement;
+// and one account that floods, see FairShare.
 class WaitQueue {
 public:
   void add(const WaitingStatement &W);
   void remove(WaitingId Id);
+  // The statement gets a connection, which it is expected to hold for Hold.
+  void grant(const WaitingStatement &W, absl::Duration Hold);
   // Visits statements in order until Visit returns false. Visit may remove the statement that it is
   // given.
   void visit(Instant Now, const std::function<bool(const WaitingStatement &)> &Visit);
@@ -42,6 +47,7 @@
 
 private:
   std::vector<WaitingStatement> All; // ordered by Arrived
+  FairShare Shares;
 };
 
 // Load of the targets that may serve a statement, as of its arrival.
@@ -63,6 +69,11 @@
 // With one average for both kinds, half of the admitted statements waited until their limit.
 absl::Duration expectedWait(const WaitingStatement &W, const QueueLoad &Load);
 
+// Latest time at which a statement can start and be answered by AnswerBy, if it holds a connection
+// for Hold. Load pattern: a queue as long as the objective, where each statement that is just in
+// time to start is answered late, and the next one too.
+Instant latestStart(Instant Now, Instant AnswerBy, absl::Duration Hold);
+
 enum class Admission : uint8_t { Wait, RejectBusy, RejectNoPrimary };
 
 // Decides whether a statement may wait. A statement that cannot start by StartBefore at the current
