Reads are sent to another data centre by price and capacity

Cause: each read went to the target with the lowest expected time plus a fixed charge, so that all instances switched at once, and the charge had no relation to the price of the bytes. Change: placement::SpillController decides for each service and other data centre the share of reads that is sent there, from the lateness on both sides, the price of the bytes and the spare capacity divided by all live instances; at most two changes a second. gateway::ReadSpill collects the inputs and excludes candidates of chooseForRead. Off without the field spill of the settings file. No existing test changed.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -113,6 +113,8 @@
                                              this->Options.Location, Name,
                                              this->Options.Seed + this->Services.size());
   S.Router->setLeavingLimit(this->Options.LeavingLimit);
+  if (this->Options.Spill)
+    S.Router->setSpill(*this->Options.Spill);
   S.Router->commits().OnAwaitsSettled = [this] { this->checkClaims(); };
   S.Changes = std::make_unique<ChangeRunner>(
       ChangeDependencies{
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -35,6 +35,7 @@
   uint32_t MilliCores = 0;                             // CPU time it may use; 0: not known
   uint64_t Seed = 1;                                   // of the random choice of targets for reads
   absl::Duration GroupGrowthDelay = absl::Seconds(20); // see GroupSizes
+  std::optional<placement::SpillSettings> Spill; // reads sent to other data centres; empty: off
 };
 
 class Gateway : public SessionHost {
--- a/src/gateway/router.cpp
+++ b/src/gateway/router.cpp
@@ -355,7 +355,12 @@
     return Id;
   }
   this->Queue.add(W.Wait);
-  this->Waiting.emplace(Id, QueuedRequest{.Request = std::move(W)});
+  double Draw = 0;
+  if (this->Spill && W.MaxAge) {
+    this->Spill->onArrival(W.Wait.ObjectiveAt - W.Wait.Arrived, *W.MaxAge);
+    Draw = std::uniform_real_distribution<double>(0, 1)(this->Random);
+  }
+  this->Waiting.emplace(Id, QueuedRequest{.Request = std::move(W), .Draw = Draw});
   this->dispatch();
   this->rearmExpiryTimer();
   return Id;
@@ -438,9 +443,22 @@
     Pools.push_back(Pool.get());
   }
   double Jitter = std::uniform_real_distribution<double>(0, 1)(this->Random);
-  std::optional<size_t> Best = placement::chooseForRead(
-      Candidates, {.Floor = Floor, .Tried = H.Request.Tried, .Primary = &this->Positions}, Now,
-      Jitter);
+  placement::ReadRequirements Required{
+      .Floor = Floor, .Tried = H.Request.Tried, .Primary = &this->Positions};
+  bool Restricted = false;
+  if (this->Spill) {
+    std::vector<ReadTarget> Targets;
+    for (const TargetPool *Pool : Pools)
+      Targets.push_back(this->readTarget(*Pool));
+    Restricted = this->Spill->restrict(Targets, H.Draw, Candidates);
+  }
+  std::optional<size_t> Best = placement::chooseForRead(Candidates, Required, Now, Jitter);
+  if (!Best && Restricted) {
+    // No target of the data centre may serve the read, for example because all lack its position.
+    for (Candidate &C : Candidates)
+      C.Excluded = false;
+    Best = placement::chooseForRead(Candidates, Required, Now, Jitter);
+  }
   if (!Best && !H.Request.Tried.empty()) {
     // Every target has refused the read once. Tries all again, since a replica may have caught up.
     H.Request.Tried.clear();
@@ -458,6 +476,8 @@
   }
   Link->HeldSince = this->InLoop.now();
   Link->HeldByTransaction = H.Request.Wait.Transaction;
+  if (this->Spill && Floor)
+    this->Spill->onGrant(Pool.entry().Centre);
   ConnectionRequest W = std::move(H.Request);
   this->Queue.remove(W.Wait.Id);
   this->Waiting.erase(W.Wait.Id);
@@ -522,6 +542,44 @@
   Link->submit(std::move(Requests), Now + SampleTimeout);
 }
 
+void ServiceRouter::setSpill(const placement::SpillSettings &Rules) {
+  this->Spill.emplace(this->Counters, this->OwnLocation.Centre, this->Name, Rules);
+}
+
+void ServiceRouter::onReadAnswered(const TargetPool &Pool, size_t Bytes) {
+  if (this->Spill)
+    this->Spill->onAnswer(Pool.entry().Centre, Bytes);
+}
+
+ReadTarget ServiceRouter::readTarget(const TargetPool &Pool) const {
+  placement::Distance To = this->distanceTo(Pool);
+  return {.Centre = Pool.entry().Centre,
+          .To = To,
+          .Primary = Pool.isPrimary(),
+          .Slots = Pool.entry().Slots,
+          .OpenLinks = Pool.openLinks(),
+          .HoldTime = Pool.statistics().averageHoldTime(false, To, this->InLoop.now()),
+          .Statistics = &Pool.statistics()};
+}
+
+void ServiceRouter::decideSpill() {
+  Instant Now = this->InLoop.now();
+  if (!this->Spill || !this->Spill->due(Now))
+    return;
+  std::vector<ReadTarget> Targets;
+  for (const auto &[Id, Pool] : this->Pools)
+    if (this->usable(*Pool))
+      Targets.push_back(this->readTarget(*Pool));
+  WaitingReads Reads;
+  for (const auto &[Id, H] : this->Waiting) {
+    if (H.Request.Wait.NeedsPrimary)
+      continue;
+    ++Reads.Count;
+    Reads.FirstObjective = std::min(Reads.FirstObjective, H.Request.Wait.ObjectiveAt);
+  }
+  this->Spill->tick(Targets, Reads, this->Instances, Now);
+}
+
 // Each instance can hold a connection to each target unless there are fewer of them than instances.
 bool ServiceRouter::sharesSamples() const {
   bool Scarce = this->Limits.MaxConnections > 0 && this->Instances > this->Limits.MaxConnections;
@@ -558,6 +616,7 @@
   this->Prover.tick();
   this->Commits.tick();
   this->samplePrimary();
+  this->decideSpill();
   this->dispatch();
 }
 
--- a/src/gateway/router.h
+++ b/src/gateway/router.h
@@ -6,6 +6,7 @@
 #include "gateway/commits.h"
 #include "gateway/pool.h"
 #include "gateway/prover.h"
+#include "gateway/read_spill.h"
 #include "gateway/samples.h"
 
 #include "absl/container/flat_hash_map.h"
@@ -85,6 +86,12 @@
     this->Commits.evidence().setEligible(Id, Keeps);
   }
 
+  // Sends reads to other data centres by these rules. Without a call, reads go where
+  // chooseForRead() expects the lowest cost.
+  void setSpill(const placement::SpillSettings &Rules);
+  // A target answered a read of bounded age. Bytes: of the request and the answer.
+  void onReadAnswered(const TargetPool &Pool, size_t Bytes);
+
   // Queues a request. It may be granted or rejected before this returns. The id is for cancel().
   placement::WaitingId request(ConnectionRequest W);
   void cancel(placement::WaitingId Id);
@@ -149,6 +156,7 @@
 private:
   struct QueuedRequest {
     ConnectionRequest Request;
+    double Draw = 0; // random number in [0, 1) by which the data centre of a read is chosen
   };
   bool usable(const TargetPool &Pool) const;
   placement::QueueLoad loadFor(bool NeedsPrimary);
@@ -159,6 +167,8 @@
   void rearmExpiryTimer();
   void rejectExpired();
   void samplePrimary();
+  ReadTarget readTarget(const TargetPool &Pool) const;
+  void decideSpill();
   void onPrimaryAnswer(TargetPool &Pool, Term InTerm);
   void noteTerm(Term InTerm, const TargetId &Leader);
   void noteCovered(const std::optional<placement::CoveredPosition> &Covered);
@@ -205,6 +215,7 @@
   Instant LastShortBound = absl::InfinitePast(); // last one below ShortestSharedBound
   absl::Duration LeavingLimit = absl::Seconds(5);
   std::map<TargetId, Instant> LeavingSince;
+  std::optional<ReadSpill> Spill;
   TimerId ExpiryTimer;
   bool Dispatching = false;
   bool DispatchAgain = false;
--- a/src/gateway/session.cpp
+++ b/src/gateway/session.cpp
@@ -17,6 +17,14 @@
 // read was not run do not count: only the timeout limits those.
 constexpr int MaxReadFailures = 3;
 
+// Bytes of a statement and its answer, without the framing.
+size_t payloadBytes(const Statement &Stmt, const Answer &Reply) {
+  size_t Bytes = Stmt.Text.size();
+  for (const std::string &Row : Reply.Rows)
+    Bytes += Row.size();
+  return Bytes;
+}
+
 std::string counterName(std::string_view Prefix, std::string_view Cause) {
   return std::string(Prefix).append(Cause);
 }
@@ -456,6 +464,7 @@
     return;
   }
   if (G.Floor) {
+    Router->onReadAnswered(*Pool, payloadBytes(O.Stmt, *Reply));
     this->finish(*Reply);
     return;
   }
--- a/src/placement/choose.cpp
+++ b/src/placement/choose.cpp
@@ -141,6 +141,8 @@
   double BestMs = 0;
   for (size_t I = 0; I < All.size(); ++I) {
     const Candidate &C = All[I];
+    if (C.Excluded)
+      continue;
     if (std::find(Required.Tried.begin(), Required.Tried.end(), C.Id) != Required.Tried.end())
       continue;
     if (Required.Floor && !C.Primary &&
--- a/src/placement/choose.h
+++ b/src/placement/choose.h
@@ -36,6 +36,7 @@
   absl::Duration averageResponse(Distance To, Instant Now) const;
   // Estimate of the share of recent statements that failed, from 0 to 1.
   double failureShare(Instant Now) const;
+  uint64_t answers() const { return this->Answers; }
   // Estimated replication lag behind the primary.
   absl::Duration lag(Instant Now) const;
   // Returns false if a read that requires the position Needed is likely to be refused.
@@ -69,6 +70,7 @@
   uint32_t Running = 0;           // statements of this instance that run on the target
   uint32_t Idle = 0;              // idle open connections
   bool MayOpenConnection = false; // the limit allows another connection
+  bool Excluded = false;          // the read goes to another data centre, see SpillController
 };
 
 struct ReadRequirements {
--- a/src/placement/placement.h
+++ b/src/placement/placement.h
@@ -10,5 +10,6 @@
 #include "placement/lead.h"
 #include "placement/queue.h"
 #include "placement/samplers.h"
+#include "placement/spill.h"
 
 #endif // TOUCAN_PLACEMENT_PLACEMENT_H
