Samplers are chosen only for services with reads

Cause: the choice of a sampler is linear in the instances of the data centre, and was made 20 times a second for each configured service, at 17,000 services also for those that this instance reads nothing from. Change: services without reads of bounded age in the last 3 s are skipped.

--- a/src/gateway/samples.cpp
+++ b/src/gateway/samples.cpp
@@ -50,12 +50,15 @@
       this->States.erase(Service);
       continue;
     }
+    // Most services have no reads at this instance, and the choice is linear in the instances.
+    placement::SampleTimes Times = Source->sampleTimes();
+    if (Now - Times.BoundedRead > placement::BoundedReadWindow)
+      continue;
     const InstanceId &Sampler = this->Choice.samplerOf(Service.Value, Now);
     this->noteSampler(Service, Sampler);
     bool Elsewhere = Sampler != this->Own.Self && Now >= this->States[Service].OwnUntil;
     Source->setSampledElsewhere(Elsewhere);
-    placement::SampleTimes Times = Source->sampleTimes();
-    if (Elsewhere && Now - Times.BoundedRead <= placement::BoundedReadWindow)
+    if (Elsewhere)
       BySampler[Sampler].push_back({.Service = Service,
                                     .Source = Source,
                                     .Newest = Times.Newest,
