--- a/src/gateway/router.cpp
+++ b/src/gateway/router.cpp
@@ -448,6 +448,7 @@
   bool Restricted = false;
   if (this->Spill) {
     std::vector<ReadTarget> Targets;
+    Targets.reserve(Pools.size());
     for (const TargetPool *Pool : Pools)
       Targets.push_back(this->readTarget(*Pool));
     Restricted = this->Spill->restrict(Targets, H.Draw, Candidates);
--- a/src/placement/samplers_test.cpp
+++ b/src/placement/samplers_test.cpp
@@ -13,6 +13,7 @@
 
 std::vector<SamplerCandidate> dataCentre() {
   std::vector<SamplerCandidate> Out;
+  Out.reserve(20);
   for (int I = 0; I < 20; ++I)
     Out.push_back({.Id = InstanceId("i" + std::to_string(I)), .MilliCores = I < 2 ? 500U : 84U});
   return Out;
