--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -118,6 +118,8 @@
                                              this->Options.Seed + this->Services.size());
   S.Router->setLeavingLimit(this->Options.LeavingLimit);
   S.Router->setInstances(this->Options.Self, this->Alive);
+  if (this->Options.Spill)
+    S.Router->setSpill(*this->Options.Spill);
   S.Router->commits().OnAwaitsSettled = [this] { this->checkClaims(); };
   S.Changes = std::make_unique<ChangeRunner>(
       ChangeDependencies{
