Rate limits of accounts across all instances

Change: RateLimits holds partitions under leases in the store, asks holders for tokens over the link and admits operations from tokens that it holds. A session asks once for each operation. Tolerance from bounds.quotaWindowS, quotaOverage and quotaSlack of the settings.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -38,6 +38,7 @@
                                                           .Incarnation = this->Options.Incarnation,
                                                           .Host = this->Options.LinkHost,
                                                           .Port = this->Options.LinkPort}),
+      RateEnv(InLoop, this->Peers), Limits(this->RateEnv, Rows, Counters, this->Options.RateBounds),
       Observers(
           InLoop, Protocol, Counters, this->Peers,
           [this](const catalog::ServiceName &Service) { return this->router(Service); },
@@ -45,7 +46,13 @@
       Groups(InLoop, Rows, absl::Milliseconds(this->Options.Seed % SaveJitterMs),
              this->Options.GroupGrowthDelay),
       Claims(Rows, this->Options.Self), Promotions(Promotions), Reader(Reader),
-      LastTick(InLoop.now()) {}
+      LastTick(InLoop.now()) {
+  using Kind = PeerLink::Kind;
+  for (Kind K : {Kind::kRateRequest, Kind::kRateGrant, Kind::kRateHolder})
+    this->Peers.handle(K, [this](const InstanceId &From, const proto::Envelope &M) {
+      this->Limits.onMessage(From, M);
+    });
+}
 
 Gateway::~Gateway() {
   if (this->ListenFd >= 0) {
@@ -67,6 +74,7 @@
     for (auto &[Name, S] : this->Services)
       S.Router->setLimits(S.Router->limits(), this->Instances.aliveCount());
     this->Peers.setPeers(Alive);
+    this->Limits.onInstances();
   };
   this->Instances.start({.Endpoint = this->Peers.endpoint(),
                          .Incarnation = this->Peers.incarnation(),
@@ -381,7 +389,8 @@
                                                       .Protocol = this->Protocol,
                                                       .Counters = this->Counters,
                                                       .Host = *this,
-                                                      .Log = this->Log},
+                                                      .Log = this->Log,
+                                                      .Limits = this->Limits},
                                   Id);
     C->CallerSession = NewSession;
     this->Callers.emplace(Id, std::move(C));
@@ -478,6 +487,7 @@
   this->DrainDeadline = Deadline;
   this->OnDrained = std::move(Done);
   this->Instances.leave();
+  this->Limits.drain();
   LogEvent(LogLevel::Info, "drain_begun")
       .kv("sessions", this->Callers.size())
       .kv("left_ms", absl::ToInt64Milliseconds(Deadline - this->InLoop.now()));
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -9,6 +9,7 @@
 #include "gateway/instances.h"
 #include "gateway/observers.h"
 #include "gateway/peers.h"
+#include "gateway/rate_limits.h"
 #include "gateway/readiness.h"
 #include "gateway/router.h"
 #include "gateway/session.h"
@@ -34,6 +35,7 @@
   uint32_t MilliCores = 0;                             // CPU time it may use; 0: not known
   uint64_t Seed = 1;                                   // of the random choice of targets for reads
   absl::Duration GroupGrowthDelay = absl::Seconds(20); // see GroupSizes
+  ratelimit::Bounds RateBounds;
 };
 
 class Gateway : public SessionHost {
@@ -46,6 +48,8 @@
 
   // Input from the control plane. Called on the loop's thread.
   void onConfiguration(catalog::Configuration New);
+  // Accounts that have a rate limit.
+  void setRateLimits(const RateLimits::LimitMap &New) { this->Limits.setLimits(New); }
   void onTarget(const catalog::Registration &R);
   void onTargetVanished(const TargetId &Id);
   void onTargetList(const std::vector<catalog::Registration> &Registrations);
@@ -112,6 +116,8 @@
   bool TargetsKnown = false;
   InstanceRegistry Instances;
   PeerLink Peers;
+  LinkedRateEnvironment RateEnv;
+  RateLimits Limits;
   LeaderObservers Observers;
   GroupSizes Groups;
   promotion::Claimer Claims;
--- a/src/gateway/session.cpp
+++ b/src/gateway/session.cpp
@@ -222,7 +222,35 @@
   if (this->Tx.State == TxState::Open)
     this->sendInTransaction();
   else
+    this->admit();
+}
+
+// Asks once for each operation: a single statement, or the first statement of a transaction.
+// Further attempts go through enqueue().
+void Session::admit() {
+  Operation &O = *this->Op;
+  O.AdmittedAs = defaultAccount();
+  if (!this->Deps.Limits.limited(O.AdmittedAs)) {
     this->enqueue();
+    return;
+  }
+  auto OnAnswer = [Self = this->weak_from_this(), Number = O.Number](const Admission &A) {
+    auto S = Self.lock();
+    if (!S || !S->isCurrent(Number))
+      return;
+    S->Op->Admission.reset();
+    if (A.Admitted)
+      S->enqueue();
+    else
+      S->finishError(ErrorCode::Busy, refusalText(A), A.Cause);
+  };
+  uint64_t Number = O.Number;
+  Instant StartBefore = O.Arrived + O.Route.StatementTimeout * StartShare;
+  std::optional<RateLimits::AdmissionId> Waits =
+      this->Deps.Limits.admit(O.AdmittedAs, StartBefore, std::move(OnAnswer));
+  // admit() may already have answered, which may have ended the operation.
+  if (Waits && this->isCurrent(Number))
+    this->Op->Admission = Waits;
 }
 
 // Requests a link from the router to a target that can serve the statement.
@@ -607,6 +635,8 @@
   Operation &O = *this->Op;
   this->Deps.InLoop.cancel(O.AnswerTimer);
   this->Deps.InLoop.cancel(O.HedgeTimer);
+  if (O.Admission)
+    this->Deps.Limits.cancel(O.AdmittedAs, *O.Admission);
   if (O.Queued)
     if (ServiceRouter *Router = this->Deps.Host.router(O.Route.Service))
       Router->cancel(*O.Queued);
--- a/src/gateway/session.h
+++ b/src/gateway/session.h
@@ -2,6 +2,7 @@
 #ifndef TOUCAN_GATEWAY_SESSION_H
 #define TOUCAN_GATEWAY_SESSION_H
 
+#include "gateway/rate_limits.h"
 #include "gateway/router.h"
 
 #include <functional>
@@ -31,6 +32,7 @@
   Metrics &Counters;
   SessionHost &Host;
   RequestLog &Log;
+  RateLimits &Limits;
 };
 
 class Session : public std::enable_shared_from_this<Session> {
@@ -87,6 +89,8 @@
     catalog::Route Route;
     Instant Arrived;
     Instant AnswerDeadline;
+    std::optional<RateLimits::AdmissionId> Admission; // the rate limit's answer is awaited
+    AccountName AdmittedAs;                           // the account that Admission is for
     std::optional<placement::WaitingId> Queued;
     int AttemptsInFlight = 0; // sent to a target and not answered yet
     int Attempts = 0;         // granted a link, in total
@@ -110,6 +114,7 @@
   void execute(const std::string &Id, Statement &&Stmt, OpKind Kind);
   std::optional<OpKind> operationKind(const Statement &Stmt) const;
 
+  void admit();
   void enqueue();
   void onGrant(uint64_t Number, const Grant &G);
   void onReject(uint64_t Number, Rejection R);
