--- a/src/gateway/rate_limits_test.cpp
+++ b/src/gateway/rate_limits_test.cpp
@@ -611,32 +611,68 @@
     CHECK(W.holders(P) == 1);
 }
 
-// Guards against a token that is lost because the grant arrived after its request was abandoned,
-// and against one that is used twice.
-TEST_CASE("a late grant is used until its expiry, once") {
-  World W(3, 4);
-  W.Limits[account(0)] = {.PerSecond = 0.4, .Burst = 1};
-  for (size_t I = 0; I < 3; ++I)
-    W.start(I);
-  W.runFor(absl::Seconds(8));
-  REQUIRE(W.holder(0));
-  size_t Other = (*W.holder(0) + 1) % 3;
-  Process &P = *W.Instances[Other].Running;
-  for (Instance &I : W.Instances)
-    if (&I != &W.Instances[Other])
-      I.SuspendedUntil = W.Now + absl::Milliseconds(600); // longer than the time-out of a request
+namespace {
+
+// Six instances; the one without a partition has asked all holders, which were suspended, and gave
+// up its operation. Their grants have arrived after that.
+struct LateGrants {
+  explicit LateGrants(const Limit &L) : W(6, 4) {
+    this->W.Limits[account(0)] = L;
+    for (size_t I = 0; I < 6; ++I)
+      this->W.start(I);
+    this->W.runFor(absl::Seconds(8));
+    for (size_t I = 0; I < 6; ++I) {
+      bool Holds = false;
+      for (uint32_t Part = 0; Part < ratelimit::PartitionCount; ++Part)
+        Holds |= this->W.Instances[I].Running->Limits.holds(Part);
+      if (!Holds)
+        this->P = this->W.Instances[I].Running.get();
+    }
+    REQUIRE(this->P);
+    this->suspendOthers();
+    this->admit();
+    this->W.runFor(absl::Milliseconds(1050));
+    CHECK(this->Refused == 1);
+    this->W.runFor(absl::Milliseconds(450));
+    this->suspendOthers();
+  }
+  // Longer than the time-outs of the requests to four holders.
+  void suspendOthers() {
+    for (Instance &I : this->W.Instances)
+      if (I.Running.get() != this->P)
+        I.SuspendedUntil = this->W.Now + absl::Milliseconds(1100);
+  }
+  void admit() {
+    this->P->Limits.admit(account(0), this->W.Now + absl::Seconds(2), [this](const Admission &A) {
+      ++(A.Admitted ? this->Admitted : this->Refused);
+    });
+  }
+  World W;
+  Process *P = nullptr;
   int Admitted = 0;
   int Refused = 0;
-  auto Count = [&](const Admission &A) { ++(A.Admitted ? Admitted : Refused); };
-  bool OwnToken = P.Limits.holds(0) || P.Limits.holds(1) || P.Limits.holds(2) || P.Limits.holds(3);
-  P.Limits.admit(account(0), W.Now + absl::Seconds(1), Count);
-  W.runFor(absl::Seconds(1.2));
-  CHECK(Admitted + Refused == 1);
-  if (!OwnToken) {
-    CHECK(Refused == 1);
-    P.Limits.admit(account(0), W.Now + absl::Seconds(1), Count);
-    CHECK(Admitted == 1); // from the late grant, without a further request
-  }
+};
+
+} // namespace
+
+// Guards against tokens that are lost because their grants arrived after the requests were given
+// up, and against tokens that are used twice.
+TEST_CASE("late grants are used until their expiry, once") {
+  LateGrants G({.PerSecond = 0.4, .Burst = 1}); // tokens are kept for 5 s
+  for (int I = 0; I < 6; ++I)
+    G.admit();
+  CHECK(G.Admitted == 4); // one token of each partition
+  G.W.runFor(absl::Seconds(1));
+  CHECK(G.Admitted == 4);
+  CHECK(G.Refused == 3);
+}
+
+// Guards against an expiry that is counted from the arrival of the grant: the tokens would be used
+// on top of those that were granted meanwhile.
+TEST_CASE("the expiry of a token counts from its request") {
+  LateGrants G({.PerSecond = 100, .Burst = 100}); // tokens are kept for 0.48 s
+  G.admit();
+  CHECK(G.Admitted == 0);
 }
 
 // Guards against an operation that is admitted after its session has given it up.
--- a/src/ratelimit/ratelimit_test.cpp
+++ b/src/ratelimit/ratelimit_test.cpp
@@ -142,6 +142,7 @@
 // that claims all partitions first.
 TEST_CASE("lease: instances have different ranks for a partition") {
   std::vector<InstanceId> All;
+  All.reserve(30);
   for (int I = 0; I < 30; ++I)
     All.emplace_back("node-" + std::to_string(I));
   std::vector<InstanceId> First;
