--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -38,6 +38,7 @@
                                                           .Incarnation = this->Options.Incarnation,
                                                           .Host = this->Options.LinkHost,
                                                           .Port = this->Options.LinkPort}),
+      RateEnv(InLoop, this->Peers), Limits(this->RateEnv, Rows, Counters, this->Options.RateBounds),
       Observers(
           InLoop, Protocol, Counters, this->Peers,
           [this](const catalog::ServiceName &Service) { return this->router(Service); },
@@ -55,7 +56,13 @@
       Groups(InLoop, Rows, absl::Milliseconds(this->Options.Seed % SaveJitterMs),
              this->Options.GroupGrowthDelay),
       Claims(Rows, this->Options.Self), Promotions(Promotions), Reader(Reader),
-      LastTick(InLoop.now()) {}
+      LastTick(InLoop.now()) {
+  using Kind = PeerLink::Kind;
+  for (Kind K : {Kind::kRateRequest, Kind::kRateGrant, Kind::kRateHolder})
+    this->Peers.handle(K, [this](const InstanceId &From, const proto::Envelope &M) {
+      this->Limits.onMessage(From, M);
+    });
+}
 
 Gateway::~Gateway() {
   if (this->ListenFd >= 0) {
@@ -82,6 +89,7 @@
     this->updateConnectionMode();
     this->Peers.setPeers(Alive);
     this->Samples.setInstances(Alive);
+    this->Limits.onInstances();
   };
   using Kind = PeerLink::Kind;
   this->Peers.handle(Kind::kSampleRequest,
@@ -156,6 +164,7 @@
     LogEvent(LogLevel::Warn, "keys_not_required").kv("version", Version.Value);
   this->Counters.set("configuration_version", static_cast<int64_t>(Version.Value));
   this->Counters.set("accounts", static_cast<int64_t>(Accounts));
+  this->applyRateLimits();
   std::vector<std::shared_ptr<Session>> Sessions;
   for (auto &[Id, C] : this->Callers)
     Sessions.push_back(C->CallerSession);
@@ -178,6 +187,14 @@
   this->updateReadiness();
 }
 
+void Gateway::applyRateLimits() {
+  RateLimits::LimitMap New;
+  for (const accounts::Account &A : this->Routes.current().Accounts.accounts())
+    if (A.Limit)
+      New[A.Name] = {.PerSecond = A.Limit->PerSecond, .Burst = A.Limit->Burst};
+  this->Limits.setLimits(New);
+}
+
 void Gateway::onTarget(const catalog::Registration &R) {
   this->noteReadability(R);
   if (std::optional<catalog::TargetChange> Change =
@@ -446,7 +463,8 @@
                                                       .Protocol = this->Protocol,
                                                       .Counters = this->Counters,
                                                       .Host = *this,
-                                                      .Log = this->Log},
+                                                      .Log = this->Log,
+                                                      .Limits = this->Limits},
                                   Id);
     C->CallerSession = NewSession;
     this->Callers.emplace(Id, std::move(C));
@@ -543,6 +561,7 @@
   this->DrainDeadline = Deadline;
   this->OnDrained = std::move(Done);
   this->Instances.leave();
+  this->Limits.drain();
   LogEvent(LogLevel::Info, "drain_begun")
       .kv("sessions", this->Callers.size())
       .kv("left_ms", absl::ToInt64Milliseconds(Deadline - this->InLoop.now()));
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -9,6 +9,7 @@
 #include "gateway/instances.h"
 #include "gateway/observers.h"
 #include "gateway/peers.h"
+#include "gateway/rate_limits.h"
 #include "gateway/readiness.h"
 #include "gateway/router.h"
 #include "gateway/samples.h"
@@ -36,6 +37,7 @@
   uint64_t Seed = 1;                                   // of the random choice of targets for reads
   absl::Duration GroupGrowthDelay = absl::Seconds(20); // see GroupSizes
   std::optional<placement::SpillSettings> Spill; // reads sent to other data centres; empty: off
+  ratelimit::Bounds RateBounds;
 };
 
 class Gateway : public SessionHost {
@@ -48,6 +50,8 @@
 
   // Input from the control plane. Called on the loop's thread.
   void onConfiguration(catalog::Configuration New);
+  // Accounts that have a rate limit.
+  void setRateLimits(const RateLimits::LimitMap &New) { this->Limits.setLimits(New); }
   void onTarget(const catalog::Registration &R);
   void onTargetVanished(const TargetId &Id);
   void onTargetList(const std::vector<catalog::Registration> &Registrations);
@@ -98,6 +102,7 @@
   void updateGroupSize(const catalog::ServiceName &Service);
   void updateListing(const TargetId &Id);
   void updateConnectionMode();
+  void applyRateLimits();
   void readTargets(const std::function<void(bool)> &Done);
   void checkClaims();
   using KnownLeads = std::map<catalog::ServiceName, promotion::KnownLead>;
@@ -119,6 +124,8 @@
   size_t ScarceServices = 0;
   size_t RetainedTargets = 0;
   PeerLink Peers;
+  LinkedRateEnvironment RateEnv;
+  RateLimits Limits;
   LeaderObservers Observers;
   SharedSamples Samples;
   GroupSizes Groups;
