--- a/tests/process.h
+++ b/tests/process.h
@@ -35,6 +35,8 @@
   // Number after "KEY=" in the line "listening ..."; 0 when it does not come in time.
   uint16_t port(std::string_view Key);
   void signal(int Number) const;
+  // -1 after the end was seen.
+  pid_t pid() const { return this->Pid; }
   // kill -9, then waits for the end.
   void kill();
   // Waits for the end: exit code, or 128 + signal; empty at the limit.
