Bound the memory, descriptors and time of callers

Change: CallerBudget decides whom to read, process, accept and close, from the bytes that the gateway reports; CallerDeadlines applies the time bounds; both are pure. The gateway bounds the kernel's buffers, pauses, closes and refuses callers, answers half-closed ones before it closes them, and keeps descriptors in reserve. A session processes at most 64 messages or 64 KB in a round, no longer moves its whole input for each statement, and has a limit on its values and prepared statements. Links and callers return the memory of large buffers.

--- /dev/null
+++ b/src/gateway/caller_budget.cpp
@@ -0,0 +1,138 @@
+#include "gateway/caller_budget.h"
+
+#include <algorithm>
+
+namespace toucan::gateway {
+
+namespace {
+
+constexpr uint64_t CallerMemoryDivisor = 4;
+constexpr size_t CallerShareDivisor = 16;
+// A message of 1 MiB and one read behind it, in a buffer that grows by doubling.
+constexpr size_t MinCallerBytes = size_t{2560} * 1024;
+constexpr size_t MaxCallerBytes = size_t{4} << 20;
+// Session object, watch, timers and the kernel's socket.
+constexpr size_t IdleCallerBytes = 4096;
+// A caller with less than this is not paused for the others' use of memory.
+constexpr size_t MinEqualShare = 64 * 1024;
+// A caller with less than this is not closed either: closing it would free little.
+constexpr size_t LightCallerBytes = 16 * 1024;
+constexpr uint64_t MinReservedDescriptors = 32;
+
+void addTo(CallerBytes &Sum, const CallerBytes &B) {
+  Sum.Input += B.Input;
+  Sum.Statement += B.Statement;
+  Sum.State += B.State;
+  Sum.Unsent += B.Unsent;
+  Sum.Kernel += B.Kernel;
+}
+
+void subtractFrom(CallerBytes &Sum, const CallerBytes &B) {
+  Sum.Input -= B.Input;
+  Sum.Statement -= B.Statement;
+  Sum.State -= B.State;
+  Sum.Unsent -= B.Unsent;
+  Sum.Kernel -= B.Kernel;
+}
+
+} // namespace
+
+CallerLimits callerLimits(uint64_t MemoryLimitBytes) {
+  uint64_t Memory = MemoryLimitBytes == 0 ? AssumedMemoryBytes : MemoryLimitBytes;
+  auto Total = static_cast<size_t>(Memory / CallerMemoryDivisor);
+  return {.TotalBytes = Total,
+          .CallerBytes = std::clamp(Total / CallerShareDivisor, MinCallerBytes, MaxCallerBytes)};
+}
+
+size_t maxCallers(uint64_t Descriptors) {
+  uint64_t Reserved = std::max(Descriptors / 4, MinReservedDescriptors);
+  return Descriptors > Reserved ? static_cast<size_t>(Descriptors - Reserved) : 1;
+}
+
+void CallerBudget::update(SessionId Id, const CallerBytes &Now) {
+  auto [It, New] = this->Callers.try_emplace(Id);
+  if (!New && It->second == Now)
+    return;
+  if (!New) {
+    subtractFrom(this->Sum, It->second);
+    this->ByBytes.erase({It->second.total(), Id});
+  }
+  It->second = Now;
+  addTo(this->Sum, Now);
+  this->ByBytes.emplace(Now.total(), Id);
+}
+
+void CallerBudget::remove(SessionId Id) {
+  auto It = this->Callers.find(Id);
+  if (It == this->Callers.end())
+    return;
+  subtractFrom(this->Sum, It->second);
+  this->ByBytes.erase({It->second.total(), Id});
+  this->Callers.erase(It);
+}
+
+size_t CallerBudget::totalBytes() const {
+  return this->Sum.total() + this->Callers.size() * IdleCallerBytes;
+}
+
+size_t CallerBudget::equalShare() const {
+  return std::max(this->pressedBytes() / std::max<size_t>(this->Callers.size(), 1), MinEqualShare);
+}
+
+bool CallerBudget::overShare(SessionId Id) const {
+  auto It = this->Callers.find(Id);
+  return It != this->Callers.end() && this->pressed() && It->second.total() > this->equalShare();
+}
+
+bool CallerBudget::mayRead(SessionId Id) const {
+  auto It = this->Callers.find(Id);
+  if (It == this->Callers.end())
+    return true;
+  const CallerBytes &B = It->second;
+  if (B.Input > this->Limits.CallerBytes || B.Unsent > this->Limits.CallerBytes)
+    return false;
+  // Above the total, heavy callers are closed in the same iteration of the loop. Nothing is read
+  // until then, so that one iteration does not add a read of each caller.
+  return this->totalBytes() <= this->Limits.TotalBytes && !this->overShare(Id);
+}
+
+bool CallerBudget::mayProcess(SessionId Id) const {
+  auto It = this->Callers.find(Id);
+  if (It == this->Callers.end())
+    return true;
+  const CallerBytes &B = It->second;
+  return B.Unsent <= this->Limits.CallerBytes && !(B.Unsent > 0 && this->overShare(Id));
+}
+
+std::optional<SessionId> CallerBudget::toClose() const {
+  if (this->totalBytes() <= this->Limits.TotalBytes || this->ByBytes.empty())
+    return std::nullopt;
+  auto [Bytes, Id] = *this->ByBytes.rbegin();
+  return Bytes > LightCallerBytes ? std::optional(Id) : std::nullopt;
+}
+
+std::string_view CallerDeadlines::check(Instant Now, const CallerProgress &P,
+                                        const CallerTimes &Times) {
+  if (!P.Opened && Now - this->Accepted > Times.Open)
+    return "open_timeout";
+  if (!P.InMessage) {
+    this->MessageSince = absl::InfiniteFuture();
+  } else if (this->MessageSince == absl::InfiniteFuture() || this->MessageNumber != P.Messages) {
+    this->MessageSince = Now;
+    this->MessageNumber = P.Messages;
+  } else if (P.Opened && Now - this->MessageSince > Times.Message) {
+    return "message_timeout";
+  }
+  if (!P.HasUnsent) {
+    this->DrainSince = absl::InfiniteFuture();
+  } else if (this->DrainSince == absl::InfiniteFuture() ||
+             P.SentBytes - this->DrainMark >= Times.DrainBytes) {
+    this->DrainSince = Now;
+    this->DrainMark = P.SentBytes;
+  } else if (Now - this->DrainSince > Times.DrainWindow) {
+    return "drain_timeout";
+  }
+  return {};
+}
+
+} // namespace toucan::gateway
--- a/src/gateway/codec.h
+++ b/src/gateway/codec.h
@@ -42,6 +42,10 @@
   // Decodes the message that starts at Offset in Buffer and advances Offset past it. Empty if the
   // message is still incomplete.
   virtual std::optional<CallerMessage> takeCallerMessage(std::string &Buffer, size_t &Offset) = 0;
+  // Whether takeCallerMessage() may return something for input that was incomplete before Added,
+  // its last part, arrived. A caller that sends byte by byte would otherwise cost a search of the
+  // whole input for each byte.
+  virtual bool mayComplete(std::string_view Added, size_t InputBytes) const = 0;
   virtual std::optional<TargetMessage> takeTargetMessage(std::string &Buffer, size_t &Offset) = 0;
 
   virtual void appendSessionReady(std::string &Out) = 0;
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -3,6 +3,7 @@
 #ifndef TOUCAN_GATEWAY_GATEWAY_H
 #define TOUCAN_GATEWAY_GATEWAY_H
 
+#include "gateway/caller_budget.h"
 #include "gateway/changes.h"
 #include "gateway/codec.h"
 #include "gateway/groups.h"
@@ -13,6 +14,8 @@
 #include "gateway/router.h"
 #include "gateway/session.h"
 
+#include "absl/container/flat_hash_set.h"
+
 #include <functional>
 #include <map>
 #include <memory>
@@ -26,6 +29,8 @@
   InstanceLocation Location;
   std::string CallerAddress;                           // IP:PORT to listen on
   size_t MaxSessions = 4000;                           // callers beyond this are refused
+  uint64_t MemoryLimitBytes = 0;                       // of the process; 0: not known
+  CallerTimes Times;                                   // time bounds of callers
   absl::Duration LeavingLimit = absl::Seconds(5);      // how long a leaving target still gets work
   bool TokensChecked = false;                          // the platform refuses lower fencing tokens
   std::string LinkHost;                                // IP address of the link; empty: no link
@@ -62,6 +67,8 @@
   ServiceRouter *router(const catalog::ServiceName &Service) override;
   bool send(SessionId Id, std::string Bytes) override;
   void end(SessionId Id) override;
+  bool mayProcess(SessionId Id) const override;
+  size_t maxStateBytes() const override { return this->Budget.limits().CallerBytes; }
 
   // Called with the new value of ready() when it changes.
   std::function<void(bool)> OnReadinessChange;
@@ -71,8 +78,12 @@
     int Fd = -1;
     std::shared_ptr<Session> CallerSession;
     std::string Unsent;
-    bool Ending = false; // the session has ended; removed once Unsent is written
+    bool Ending = false;     // the session has ended; removed once Unsent is written
+    bool HalfClosed = false; // the caller has ended its sending side
+    bool FlushDue = false;   // flush() is scheduled to look for acknowledgements
     uint32_t WatchedEvents = 0;
+    uint64_t SentBytes = 0;
+    CallerDeadlines Deadlines{absl::InfiniteFuture()};
   };
   struct ServiceState {
     std::unique_ptr<ServiceRouter> Router;
@@ -82,9 +93,21 @@
   // Owes its caller nothing: no statement, transaction, input or unsent answer.
   static bool isIdle(const Caller &C);
   void acceptCallers();
+  void pauseAccepting();
   void onCallerEvents(SessionId Id, uint32_t Events);
   void flush(SessionId Id);
-  void updateWatch(Caller &C);
+  void updateWatch(SessionId Id, Caller &C);
+  // Reports the caller's sizes to the budget, and schedules the closing of callers if it is spent.
+  void account(SessionId Id, const Caller &C);
+  // Writes what the socket takes. False if the connection has failed.
+  bool write(SessionId Id, Caller &C);
+  void flushLater(SessionId Id);
+  void closeHeaviest();
+  void closeCaller(SessionId Id, std::string_view Cause);
+  // Ends a half-closed caller that has its answers.
+  void endHalfClosed(Caller &C);
+  void resumePaused();
+  void checkCallers();
   void remove(SessionId Id);
   void tick();
   void applyChange(const catalog::TargetChange &Change);
@@ -123,6 +146,10 @@
   std::map<TargetId, catalog::ServiceName> ServiceOf;
   std::map<TargetId, std::string> Unreadable; // targets whose registration is unreadable, and why
   absl::flat_hash_map<SessionId, std::unique_ptr<Caller>> Callers;
+  CallerBudget Budget;
+  bool ClosesHeaviest = false; // closeHeaviest() is scheduled
+  Instant NextCallerCheck = absl::InfinitePast();
+  absl::flat_hash_set<SessionId> PausedCallers; // not read or not processed
   RequestLog Log;
   int ListenFd = -1;
   uint64_t NextSession = 1;
--- a/src/gateway/link.cpp
+++ b/src/gateway/link.cpp
@@ -102,6 +102,7 @@
   if (this->CurrentPhase == Phase::Closed)
     return;
   this->In.erase(0, Offset);
+  releaseSpareCapacity(this->In);
   if (T == Transfer::Closed)
     this->disconnect("closed by the target", std::nullopt);
 }
@@ -117,6 +118,7 @@
     });
     return;
   }
+  releaseSpareCapacity(this->Out);
   bool Wants = !this->Out.empty();
   if (Wants == this->WantsWrite)
     return;
--- a/src/gateway/session.cpp
+++ b/src/gateway/session.cpp
@@ -1,5 +1,6 @@
 #include "gateway/session.h"
 #include "gateway/session_limits.h"
+#include "gateway/socket.h"
 
 #include "absl/strings/str_cat.h"
 
@@ -17,6 +18,9 @@
 // read was not run do not count: only the timeout limits those.
 constexpr int MaxReadFailures = 3;
 
+// Allocation of one session value or prepared statement beside its texts.
+constexpr size_t StateEntryBytes = 96;
+
 std::string counterName(std::string_view Prefix, std::string_view Cause) {
   return std::string(Prefix).append(Cause);
 }
@@ -46,9 +50,25 @@
   if (this->Closed)
     return;
   this->Input.append(Bytes);
+  if (this->Incomplete && !this->Deps.Protocol.mayComplete(Bytes, this->buffered()))
+    return;
+  this->Incomplete = false;
   this->processMessages();
 }
 
+void Session::resume() {
+  if (this->HeldBack)
+    this->processMessages();
+}
+
+size_t Session::statementBytes() const {
+  if (!this->Op)
+    return 0;
+  const Statement &S = this->Op->Stmt;
+  // The text is copied once for the link to the target.
+  return 2 * S.Text.capacity() + S.Value.capacity() + S.Name.capacity();
+}
+
 void Session::onConfiguration() {
   if (!this->AwaitsConfiguration)
     return;
@@ -64,19 +84,29 @@
   if (this->Processing || this->ContinuesLater)
     return;
   this->Processing = true;
+  this->HeldBack = false;
   int Left = MaxMessagesPerRound;
-  while (Left > 0 && !this->Closed && !this->Op && !this->AwaitsConfiguration) {
+  size_t BytesLeft = MaxBytesPerRound;
+  while (Left > 0 && BytesLeft > 0 && !this->Closed && !this->Op && !this->AwaitsConfiguration) {
+    if (this->buffered() > 0 && !this->Deps.Host.mayProcess(this->Id)) {
+      this->HeldBack = true;
+      break;
+    }
+    size_t Before = this->Consumed;
     std::optional<CallerMessage> Message =
         this->Deps.Protocol.takeCallerMessage(this->Input, this->Consumed);
-    if (!Message)
+    if (!Message) {
+      this->Incomplete = this->buffered() > 0;
       break;
+    }
     --Left;
+    ++this->MessagesTaken;
+    BytesLeft -= std::min(BytesLeft, this->Consumed - Before);
     this->onMessage(std::move(*Message));
   }
   this->Processing = false;
-  this->Input.erase(0, this->Consumed);
-  this->Consumed = 0;
-  if (Left > 0 || this->Closed)
+  this->discardProcessed();
+  if ((Left > 0 && BytesLeft > 0) || this->Closed)
     return;
   this->ContinuesLater = true;
   this->Deps.InLoop.post([Self = this->weak_from_this()] {
@@ -87,6 +117,17 @@
   });
 }
 
+// Moves the rest of the input to the front only if it is the smaller part, so that a caller that
+// has sent many statements ahead does not cost a copy of all of them for each. An incomplete
+// message is always moved: otherwise it could reach the caller's share before its end.
+void Session::discardProcessed() {
+  if (this->Consumed < this->buffered() && !this->Incomplete)
+    return;
+  this->Input.erase(0, this->Consumed);
+  this->Consumed = 0;
+  releaseSpareCapacity(this->Input);
+}
+
 void Session::onMessage(CallerMessage &&Message) {
   if (Message.Kind == CallerMessageKind::Terminate) {
     this->close();
@@ -153,18 +194,17 @@
     this->endTransaction(Id, std::move(Stmt));
     return;
   case StatementKind::Set:
-    this->Values[Stmt.Name] = Stmt.Value;
-    this->replySuccess();
-    return;
   case StatementKind::Prepare:
-    this->Prepared[Stmt.Name] = {.Writes = Stmt.PreparedWrites, .Shape = Stmt.Value};
-    this->replySuccess();
+    this->storeState(std::move(Stmt));
     return;
   case StatementKind::Deallocate:
-    if (this->Prepared.erase(Stmt.Name) > 0)
+    if (auto It = this->Prepared.find(Stmt.Name); It != this->Prepared.end()) {
+      this->StateBytes -= StateEntryBytes + It->first.size() + It->second.Shape.size();
+      this->Prepared.erase(It);
       this->replySuccess();
-    else
+    } else {
       this->replyError(ErrorCode::UnknownStatement, "no such prepared statement");
+    }
     return;
   case StatementKind::Read:
   case StatementKind::Write:
@@ -180,6 +220,28 @@
   }
 }
 
+// Stores a session value or a prepared statement, unless the session would hold too much.
+void Session::storeState(Statement &&Stmt) {
+  bool IsValue = Stmt.Kind == StatementKind::Set;
+  size_t Former = 0;
+  if (auto It = this->Values.find(Stmt.Name); IsValue && It != this->Values.end())
+    Former = StateEntryBytes + It->first.size() + It->second.size();
+  if (auto It = this->Prepared.find(Stmt.Name); !IsValue && It != this->Prepared.end())
+    Former = StateEntryBytes + It->first.size() + It->second.Shape.size();
+  size_t Size = this->StateBytes - Former + StateEntryBytes + Stmt.Name.size() + Stmt.Value.size();
+  if (Size > this->Deps.Host.maxStateBytes()) {
+    this->Deps.Counters.add("statements_rejected_session_state");
+    this->replyError(ErrorCode::TooLarge, "session values and prepared statements are too large");
+    return;
+  }
+  this->StateBytes = Size;
+  if (IsValue)
+    this->Values[Stmt.Name] = Stmt.Value;
+  else
+    this->Prepared[Stmt.Name] = {.Writes = Stmt.PreparedWrites, .Shape = Stmt.Value};
+  this->replySuccess();
+}
+
 void Session::execute(const std::string &Id, Statement &&Stmt, OpKind Kind) {
   catalog::Route Route;
   if (this->Tx.State == TxState::None) {
@@ -713,8 +775,12 @@
     this->clearOperation();
   this->leaveTransaction(TxState::None);
   this->AwaitsConfiguration = false;
+  this->HeldBack = false;
   std::string().swap(this->Input);
   this->Consumed = 0;
+  this->Values.clear();
+  this->Prepared.clear();
+  this->StateBytes = 0;
 }
 
 } // namespace toucan::gateway
--- a/src/gateway/session.h
+++ b/src/gateway/session.h
@@ -23,6 +23,10 @@
   virtual bool send(SessionId Id, std::string Bytes) = 0;
   // Removes the session once all bytes for its caller are sent.
   virtual void end(SessionId Id) = 0;
+  // Whether the session may process its next message. If not, the host calls resume() later.
+  virtual bool mayProcess(SessionId Id) const = 0;
+  // Bytes that the values and prepared statements of one session may hold.
+  virtual size_t maxStateBytes() const = 0;
 };
 
 struct SessionDependencies {
@@ -38,6 +42,22 @@
   Session(SessionDependencies Deps, SessionId Id);
 
   void onBytes(std::string_view Bytes);
+  // Processes messages that were held back because of SessionHost::mayProcess().
+  void resume();
+  // START was complete.
+  bool opened() const { return this->Started || this->AwaitsConfiguration; }
+  // Messages that were received completely are still to be processed or answered.
+  bool hasWork() const {
+    return this->Op || this->AwaitsConfiguration || this->ContinuesLater || this->HeldBack;
+  }
+  // A statement has been begun and is not answered.
+  bool running() const { return this->Op.has_value(); }
+  bool heldBack() const { return this->HeldBack; }
+  uint64_t messagesTaken() const { return this->MessagesTaken; }
+  // Bytes allocated for the input, the current statement, and the values and prepared statements.
+  size_t inputBytes() const { return this->Input.capacity(); }
+  size_t statementBytes() const;
+  size_t stateBytes() const { return this->StateBytes; }
   // The configuration is known: continues a session start that waits for it.
   void onConfiguration();
   // Sends Error to the caller and ends the session. Cause is for the log and the counters.
@@ -105,6 +125,8 @@
   void onMessage(CallerMessage &&Message);
   void onStart(const std::string &Database);
   void onQuery(const std::string &Id, Statement &&Stmt);
+  void storeState(Statement &&Stmt);
+  void discardProcessed();
   void beginTransaction(const Statement &Stmt);
   void endTransaction(const std::string &Id, Statement &&Stmt);
   void execute(const std::string &Id, Statement &&Stmt, OpKind Kind);
@@ -150,6 +172,10 @@
   size_t Consumed = 0;         // bytes of Input that were processed
   bool Processing = false;     // processMessages() is running
   bool ContinuesLater = false; // processMessages() is posted to the loop
+  bool Incomplete = false;     // the input is the beginning of a message
+  bool HeldBack = false;       // input is left because the host does not let it be processed
+  uint64_t MessagesTaken = 0;
+  size_t StateBytes = 0; // of Values and Prepared
   std::string Database;
   bool Started = false;
   bool AwaitsConfiguration = false;
--- a/src/gateway/session_limits.h
+++ b/src/gateway/session_limits.h
@@ -15,6 +15,9 @@
 // Messages of one caller that are processed before others are served, if each ends at once.
 inline constexpr int MaxMessagesPerRound = 64;
 
+// Bytes of such messages. One that is larger is still processed.
+inline constexpr size_t MaxBytesPerRound = 64 * 1024;
+
 // Longest wait for the proof that the primary had not been replaced, after its answer.
 inline constexpr absl::Duration ProofTimeout = absl::Milliseconds(400);
 
--- a/src/gateway/socket.cpp
+++ b/src/gateway/socket.cpp
@@ -6,8 +6,11 @@
 #include <arpa/inet.h>
 #include <cerrno>
 #include <cstring>
+#include <linux/sockios.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <poll.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -18,6 +21,8 @@
 constexpr size_t ReadChunkBytes = 16 * 1024;
 // Limits the bytes read from one socket per call, so that one peer cannot delay the others.
 constexpr size_t MaxReadBytesPerCall = 256 * 1024;
+// Buffers up to this size are not returned: they are used again with the next message.
+constexpr size_t MaxSpareCapacity = 16 * 1024;
 constexpr int ListenBacklog = 1024;
 // A peer that stops responding is detected after idle + count * interval seconds.
 constexpr int KeepAliveIdleS = 2;
@@ -96,9 +101,20 @@
   return Fd;
 }
 
+void setBufferSizes(int Fd, int Bytes) {
+  setsockopt(Fd, SOL_SOCKET, SO_RCVBUF, &Bytes, sizeof Bytes);
+  setsockopt(Fd, SOL_SOCKET, SO_SNDBUF, &Bytes, sizeof Bytes);
+}
+
 Transfer readInto(int Fd, std::string &Out) {
+  bool PeerEnded = false;
+  Transfer T = readInto(Fd, Out, MaxReadBytesPerCall, PeerEnded);
+  return PeerEnded ? Transfer::Closed : T;
+}
+
+Transfer readInto(int Fd, std::string &Out, size_t Limit, bool &PeerEnded) {
   size_t Total = 0;
-  while (Total < MaxReadBytesPerCall) {
+  while (Total < Limit) {
     size_t Before = Out.size();
     Out.resize(Before + ReadChunkBytes);
     ssize_t Count = ::read(Fd, Out.data() + Before, ReadChunkBytes);
@@ -113,11 +129,26 @@
       continue;
     if (Count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK))
       return Total > 0 ? Transfer::Done : Transfer::WouldBlock;
-    return Transfer::Closed;
+    if (Count < 0)
+      return Transfer::Closed;
+    PeerEnded = true;
+    return Transfer::Done;
   }
   return Transfer::Done;
 }
 
+bool allAcknowledged(int Fd) {
+  int Unacknowledged = 0;
+  pollfd State{.fd = Fd, .events = 0, .revents = 0};
+  return ioctl(Fd, SIOCOUTQ, &Unacknowledged) == 0 && Unacknowledged == 0 &&
+         poll(&State, 1, 0) == 0;
+}
+
+void releaseSpareCapacity(std::string &Buffer) {
+  if (Buffer.capacity() > MaxSpareCapacity && Buffer.size() < Buffer.capacity() / 2)
+    Buffer.shrink_to_fit();
+}
+
 Transfer writeFrom(int Fd, std::string &Out) {
   size_t Sent = 0;
   Transfer Result = Transfer::Done;
--- a/src/gateway/socket.h
+++ b/src/gateway/socket.h
@@ -25,6 +25,16 @@
 
 // Reads the bytes available, up to a limit per call, and appends them to Out.
 Transfer readInto(int Fd, std::string &Out);
+// The same with a limit, about which the last read may go by its size. Sets PeerEnded and returns
+// Done if the peer shut down its sending side; it may still receive.
+Transfer readInto(int Fd, std::string &Out, size_t Limit, bool &PeerEnded);
+// Sets the sizes of the kernel's buffers. Accepted sockets inherit them from a listening one.
+void setBufferSizes(int Fd, int Bytes);
+// Whether the peer has acknowledged all that was sent, and the connection has not failed.
+bool allAcknowledged(int Fd);
+// Returns the memory of a buffer that was large and is at most half full. Without it, each link and
+// caller keeps the memory of its largest message.
+void releaseSpareCapacity(std::string &Buffer);
 // Writes from the front of Out and erases the bytes written.
 Transfer writeFrom(int Fd, std::string &Out);
 
