Connections of several accounts: replacement of the least used idle one

Cause: with 80 accounts, 30 instances and 70 connections at each target, an instance has two or three connections to a target. A statement of an account without one waited until its limit while connections of other accounts were idle, and the spare connection was of the default account.

Change: at the limit, the idle connection with the least expected reuse, of an account without waiting statements there, is closed for the account that waits (placement::connectionToReplace, learned by AccountUse). Each account opens as many links as it has waiting statements. chooseForRead counts idle links of the account only and the learned time of opening one. Without client accounts nothing changes.

--- a/src/gateway/pool.cpp
+++ b/src/gateway/pool.cpp
@@ -1,6 +1,7 @@
 #include "gateway/pool.h"
 
 #include <algorithm>
+#include <map>
 #include <utility>
 
 namespace toucan::gateway {
@@ -26,6 +27,9 @@
 // The same while connections are scarce. With 122 instances, control links that stay open for
 // seconds would take all 73 connections of a target.
 constexpr absl::Duration ScarceControlIdleLimit = placement::OnDemandIdleLimit;
+// The same where several accounts use a target, whose shares take nearly all of its connections.
+// Longer than the interval of samples.
+constexpr absl::Duration AccountsControlIdleLimit = absl::Seconds(1);
 
 } // namespace
 
@@ -64,6 +68,18 @@
                                              [](const auto &L) { return L->idle(); }));
 }
 
+uint32_t TargetPool::idleLinks(const AccountName &Account) const {
+  return static_cast<uint32_t>(
+      std::count_if(this->Links.begin(), this->Links.end(),
+                    [&](const auto &L) { return L->idle() && L->account() == Account; }));
+}
+
+uint32_t TargetPool::openLinks(const AccountName &Account) const {
+  return static_cast<uint32_t>(
+      std::count_if(this->Links.begin(), this->Links.end(),
+                    [&](const auto &L) { return L->account() == Account; }));
+}
+
 uint32_t TargetPool::pinnedLinks() const {
   return static_cast<uint32_t>(std::count_if(this->Links.begin(), this->Links.end(),
                                              [](const auto &L) { return L->Pinned; }));
@@ -74,10 +90,41 @@
                                              [](const auto &L) { return L->pending() > 0; }));
 }
 
+uint32_t TargetPool::maxOpen() const {
+  return this->Limit.maxWithBorrowing(this->InLoop.now(), this->idleInTransaction());
+}
+
 bool TargetPool::mayOpen() const {
   return !this->Retiring && this->InLoop.now() >= this->RetryAt &&
-         this->openLinks() <
-             this->Limit.maxWithBorrowing(this->InLoop.now(), this->idleInTransaction());
+         this->openLinks() < this->maxOpen();
+}
+
+bool TargetPool::mayOpenFor(const AccountName &Account,
+                            const std::set<AccountName> &Waiting) const {
+  return this->mayOpen() || this->linkToReplace(Account, Waiting);
+}
+
+TargetLink *TargetPool::linkToReplace(const AccountName &Account,
+                                      const std::set<AccountName> &Waiting) const {
+  Instant Now = this->InLoop.now();
+  if (!this->severalAccounts() || this->Retiring || Now < this->RetryAt)
+    return nullptr;
+  return this->leastUsedIdle(Account, Waiting);
+}
+
+TargetLink *TargetPool::leastUsedIdle(const AccountName &Except,
+                                      const std::set<AccountName> &Waiting) const {
+  std::vector<placement::IdleConnection> Idle;
+  std::vector<TargetLink *> IdleLinks;
+  for (const auto &L : this->Links) {
+    if (!L->idle())
+      continue;
+    Idle.push_back({.Account = L->account(), .IdleSince = L->IdleSince});
+    IdleLinks.push_back(L.get());
+  }
+  std::optional<size_t> Chosen =
+      placement::connectionToReplace(Idle, Except, this->Use, Waiting, this->InLoop.now());
+  return Chosen ? IdleLinks[*Chosen] : nullptr;
 }
 
 // Counts pinned links whose callers have sent nothing for IdleInTransactionAfter.
@@ -106,6 +153,8 @@
       BestRank = Rank;
     }
   }
+  if (Best)
+    this->Use.onUsed(Account, this->InLoop.now());
   return Best;
 }
 
@@ -126,23 +175,45 @@
       }));
 }
 
+uint32_t TargetPool::openingLinks(const AccountName &Account) const {
+  return static_cast<uint32_t>(
+      std::count_if(this->Links.begin(), this->Links.end(), [&](const auto &L) {
+        return L->account() == Account && (L->phase() == TargetLink::Phase::Connecting ||
+                                           L->phase() == TargetLink::Phase::Starting);
+      }));
+}
+
+// Where several accounts use the target, it is not known which one needs the next link.
 void TargetPool::openSpare() {
+  if (this->severalAccounts())
+    return;
   if (this->InRegularUse && this->idleLinks() + this->openingLinks() == 0 && this->mayOpen() &&
       this->openLinks() < this->Limit.keptOpen())
     this->openLink(defaultAccount(), "retained");
 }
 
-void TargetPool::openForWaiting(const AccountName &Account, uint32_t Waiting) {
-  if (this->openingLinks() < std::min(Waiting, this->Limit.maxOpening(this->InLoop.now())) &&
-      this->mayOpen())
+void TargetPool::openForWaiting(const AccountName &Account, uint32_t Waiting,
+                                const std::set<AccountName> &WaitingAccounts) {
+  if (this->openingLinks(Account) >= Waiting ||
+      this->openingLinks() >= this->Limit.maxOpening(this->InLoop.now()))
+    return;
+  if (this->mayOpen()) {
     this->openLink(Account, "on_demand");
+    return;
+  }
+  TargetLink *Replaced = this->linkToReplace(Account, WaitingAccounts);
+  if (!Replaced)
+    return;
+  // The target reads the end of the closed connection before it gets the new one.
+  Replaced->close("replaced by a connection of another account");
+  this->openLink(Account, "replaced_account");
 }
 
-Instant TargetPool::linkExpectedAt(placement::Distance To) const {
+Instant TargetPool::linkExpectedAt(const AccountName &Account, placement::Distance To) const {
   Instant Now = this->InLoop.now();
-  if (!this->Links.empty())
+  if (this->openLinks(Account) > 0)
     return Now;
-  return std::max(Now, this->RetryAt) + this->Connecting.average(To, Now);
+  return std::max(Now, this->RetryAt) + this->connectTime(To);
 }
 
 std::unique_ptr<TargetLink> TargetPool::makeLink(const AccountName &Account,
@@ -194,7 +265,7 @@
 TargetLink *TargetPool::takeForSample() {
   if (TargetLink *Link = this->takeAnyIdle())
     return Link;
-  if (this->Limit.scarce() && this->mayOpenControl())
+  if ((this->Limit.scarce() || this->severalAccounts()) && this->mayOpenControl())
     return this->controlLink();
   this->openSpare();
   return nullptr;
@@ -260,22 +331,22 @@
   Instant Now = this->InLoop.now();
   this->probe();
   uint32_t KeptOpen = this->Retiring || !this->InRegularUse ? 0 : this->Limit.keptOpen();
-  absl::Duration SpareLimit =
-      this->Retiring ? absl::ZeroDuration() : this->Limit.spareIdleLimit(Now);
   std::vector<TargetLink *> ToClose;
   uint32_t Open = this->openLinks();
-  uint32_t Idle = this->idleLinks();
+  std::map<AccountName, uint32_t> IdleCount;
+  for (const auto &L : this->Links)
+    IdleCount[L->account()] += L->idle() ? 1 : 0;
+  bool Several = this->severalAccounts();
+  const TargetLink *LeastUsed = Several ? this->leastUsedIdle(AccountName(), {}) : nullptr;
   for (const auto &L : this->Links) {
     bool Overdue = Now >= L->answerDeadline() + AnswerDeadlineMargin;
-    absl::Duration IdleFor = L->idle() ? Now - L->IdleSince : absl::ZeroDuration();
-    bool Spare = L->idle() && Open > KeptOpen && IdleFor >= SpareLimit;
-    bool Surplus = Idle > 1 && IdleFor >= placement::SurplusIdleLimit;
     if (Overdue) {
       ToClose.push_back(L.get());
-    } else if (Spare || Surplus) {
+    } else if (this->idleNotNeeded(*L, Open, KeptOpen, IdleCount[L->account()],
+                                   !Several || L.get() == LeastUsed)) {
       ToClose.push_back(L.get());
       --Open;
-      --Idle;
+      --IdleCount[L->account()];
     }
   }
   for (TargetLink *L : ToClose)
@@ -283,12 +354,30 @@
   if (this->Control && this->Control->phase() == TargetLink::Phase::Open &&
       (Now >= this->Control->answerDeadline() + AnswerDeadlineMargin ||
        (this->Control->idle() &&
-        (this->Retiring ||
-         Now - this->Control->IdleSince >
-             (this->Limit.scarce() ? ScarceControlIdleLimit : ControlIdleLimit)))))
+        (this->Retiring || Now - this->Control->IdleSince > this->controlIdleLimit()))))
     this->Control->close("control link idle or answer overdue");
 }
 
+absl::Duration TargetPool::controlIdleLimit() const {
+  if (this->Limit.scarce())
+    return ScarceControlIdleLimit;
+  return this->severalAccounts() ? AccountsControlIdleLimit : ControlIdleLimit;
+}
+
+bool TargetPool::idleNotNeeded(const TargetLink &Link, uint32_t Open, uint32_t KeptOpen,
+                               uint32_t IdleOfAccount, bool LeastUsed) const {
+  if (!Link.idle())
+    return false;
+  Instant Now = this->InLoop.now();
+  absl::Duration IdleFor = Now - Link.IdleSince;
+  bool Spare = this->Retiring ||
+               (Open > KeptOpen && IdleFor >= this->Limit.spareIdleLimit(Now) && LeastUsed);
+  bool Surplus = IdleOfAccount > 1 && IdleFor >= placement::SurplusIdleLimit;
+  bool Unused = IdleFor >= placement::AccountIdleLimit &&
+                (this->severalAccounts() || Link.account() != defaultAccount());
+  return Spare || Surplus || Unused;
+}
+
 bool TargetPool::isUnresponsive() const {
   return this->InLoop.now() - this->Health.UnansweredSince >= SuspectAfter;
 }
@@ -422,6 +511,7 @@
   LogEvent(LogLevel::Info, "target_connection_closed")
       .kv("target", this->Entry.Id.Value)
       .kv("control", IsControl)
+      .kv("account", Link.account().Value)
       .kv("cause", Link.closeCause())
       .kv("refusal", Refused ? errorName(Refusal->Code) : std::string_view("none"))
       .kv("open", this->openLinks() - (IsControl ? 0 : 1));
@@ -434,7 +524,7 @@
       this->Counters.add("target_connections_refused");
       this->Limit.onRefused(Now);
     }
-    if (TooMany && this->Limit.scarce()) {
+    if (TooMany && (this->Limit.scarce() || this->severalAccounts())) {
       this->RetryAt = Now + this->ScarceBackoff.onRefused();
     } else {
       this->RetryAt = Now + this->Backoff;
--- a/src/gateway/pool.h
+++ b/src/gateway/pool.h
@@ -9,6 +9,7 @@
 
 #include <memory>
 #include <optional>
+#include <set>
 #include <vector>
 
 namespace toucan::gateway {
@@ -44,13 +45,18 @@
   bool retired() const { return this->Retiring; }
   bool empty() const { return this->Links.empty() && !this->Control; }
 
+  // A statement of the account arrived that may run at the target.
+  void noteArrival(const AccountName &Account) { this->Use.onArrival(Account, this->InLoop.now()); }
   // Returns an idle link of the account, preferably one whose session values fit; null if none is
-  // idle. Never opens a link.
+  // idle. Never opens a link. Learns from it how often the account uses the target.
   TargetLink *takeIdle(const AccountName &Account,
                        const absl::flat_hash_map<std::string, std::string> &Values);
   // Returns an idle link of any account, for the proxy's own commands; null if none is idle.
   TargetLink *takeAnyIdle();
   uint32_t idleLinks() const;
+  uint32_t idleLinks(const AccountName &Account) const;
+  // Links of the account that are open or being opened.
+  uint32_t openLinks(const AccountName &Account) const;
   uint32_t openLinks() const { return static_cast<uint32_t>(this->Links.size()); }
   uint32_t running() const;
   uint32_t pinnedLinks() const;
@@ -60,14 +66,26 @@
   void setRegularUse(bool InRegularUse) { this->InRegularUse = InRegularUse; }
   // True if another link may be opened for a waiting statement.
   bool mayOpen() const;
-  // When a statement that arrives now can expect a link, as far as opening one decides: the present
-  // time if links are open, else after the delay that a refusal imposed and the opening.
-  Instant linkExpectedAt(placement::Distance To) const;
+  // True if a link may be opened for a waiting statement of the account, also by closing an idle
+  // link of another account. Accounts in Waiting have statements that wait at the target.
+  bool mayOpenFor(const AccountName &Account, const std::set<AccountName> &Waiting) const;
+  // True if the accounts of several clients use the target, so that links may have to be replaced.
+  bool severalAccounts() const { return this->Use.severalAccounts(this->InLoop.now()); }
+  // Average time of opening a link.
+  absl::Duration connectTime(placement::Distance To) const {
+    return this->Connecting.average(To, this->InLoop.now());
+  }
+  // When a statement of the account that arrives now can expect a link, as far as opening one
+  // decides: the present time if links of the account are open, else after the delay that a refusal
+  // imposed and the opening.
+  Instant linkExpectedAt(const AccountName &Account, placement::Distance To) const;
   // Opens a link, within the share, if none is idle or being opened.
   void openSpare();
-  // Opens a link, unless as many links as there are waiting statements, or as many as the
-  // connection limit permits at once, are being opened already.
-  void openForWaiting(const AccountName &Account, uint32_t Waiting);
+  // Opens a link, unless as many links of the account as it has waiting statements, or as many of
+  // all accounts as the connection limit permits at once, are being opened already. At the limit of
+  // open links, an idle link of an account that is not in WaitingAccounts is closed first.
+  void openForWaiting(const AccountName &Account, uint32_t Waiting,
+                      const std::set<AccountName> &WaitingAccounts);
   // Sends one of the proxy's own commands. It does not wait behind queued statements. The handler
   // gets null on failure or at the deadline.
   void command(TargetRequest Request, Instant Deadline, AnswerHandler OnAnswer);
@@ -129,6 +147,18 @@
   bool mayOpenControl() const;
   uint32_t idleInTransaction() const;
   uint32_t openingLinks() const;
+  uint32_t openingLinks(const AccountName &Account) const;
+  uint32_t maxOpen() const;
+  // Returns the idle link that is closed for a waiting statement of the account; null if none.
+  TargetLink *linkToReplace(const AccountName &Account, const std::set<AccountName> &Waiting) const;
+  // Returns the idle link with the least expected reuse, except those of some accounts.
+  TargetLink *leastUsedIdle(const AccountName &Except, const std::set<AccountName> &Waiting) const;
+  // Open: links of all accounts; KeptOpen: number of them that stay open while idle; IdleOfAccount:
+  // idle links of this link's account; LeastUsed: this link is closed first of those above
+  // KeptOpen.
+  bool idleNotNeeded(const TargetLink &Link, uint32_t Open, uint32_t KeptOpen,
+                     uint32_t IdleOfAccount, bool LeastUsed) const;
+  absl::Duration controlIdleLimit() const;
   void recycle(TargetLink &Link);
   void probe();
   void markRequestSent();
@@ -154,6 +184,7 @@
   absl::Duration Backoff;
   placement::RefusalBackoff ScarceBackoff;
   placement::ConnectTime Connecting;
+  placement::AccountUse Use;
   Instant ProbedAt = absl::InfinitePast();
   Instant ProcessSince = absl::InfiniteFuture();
   promotion::PrimaryHealth Health;
--- a/src/gateway/router.cpp
+++ b/src/gateway/router.cpp
@@ -394,6 +394,8 @@
     this->LastBoundedRead = Now;
     this->ShortestMaxAge = std::min(this->ShortestMaxAge, *W.MaxAge);
   }
+  for (auto &[Target, P] : this->Pools)
+    P->noteArrival(W.Account);
   // Reads of bounded age also need the primary while no sample of its position is available.
   bool OnlyPrimary = W.Wait.NeedsPrimary || !this->readFloor(W);
   if (OnlyPrimary && W.NeedsLeadProof && this->primary() && !this->Prover.enoughWitnesses()) {
@@ -425,9 +427,15 @@
   this->Waiting.erase(Id);
 }
 
+bool ServiceRouter::opensOnDemand() const {
+  return this->connectionsScarce() ||
+         std::any_of(this->Pools.begin(), this->Pools.end(),
+                     [](const auto &P) { return P.second->severalAccounts(); });
+}
+
 std::optional<Instant> ServiceRouter::connectionExpected(const ConnectionRequest &W,
                                                          bool OnlyPrimary) {
-  if (!this->connectionsScarce())
+  if (!this->opensOnDemand())
     return std::nullopt;
   std::optional<Instant> Earliest;
   TargetPool *Primary = this->primary();
@@ -436,14 +444,14 @@
       continue;
     if (std::find(W.Tried.begin(), W.Tried.end(), Id) != W.Tried.end())
       continue;
-    Instant At = Pool->linkExpectedAt(this->OwnLocation.distanceTo(Pool->entry().Centre));
+    Instant At = Pool->linkExpectedAt(W.Account, this->distanceTo(*Pool));
     Earliest = std::min(Earliest.value_or(At), At);
   }
   return Earliest;
 }
 
 void ServiceRouter::rejectWithoutConnection() {
-  if (!this->connectionsScarce())
+  if (!this->opensOnDemand())
     return;
   std::vector<WaitingId> Hopeless;
   for (const auto &[Id, H] : this->Waiting) {
@@ -492,11 +500,11 @@
     this->DispatchAgain = false;
     if (this->Waiting.empty())
       break;
-    std::map<TargetId, uint32_t> AssignedCounts;
+    DispatchRound Round = this->beginRound();
     this->Queue.visit(this->InLoop.now(), [&](const placement::WaitingStatement &W) {
       auto It = this->Waiting.find(W.Id);
       if (It != this->Waiting.end())
-        this->tryGrant(It->second, AssignedCounts);
+        this->tryGrant(It->second, Round);
       return true;
     });
   } while (this->DispatchAgain);
@@ -504,34 +512,52 @@
   this->rejectWithoutConnection();
 }
 
-bool ServiceRouter::tryGrant(QueuedRequest &H, std::map<TargetId, uint32_t> &AssignedCounts) {
+ServiceRouter::DispatchRound ServiceRouter::beginRound() const {
+  DispatchRound Out;
+  if (!this->opensOnDemand())
+    return Out;
+  for (const auto &[Id, H] : this->Waiting) {
+    Out.WaitingForPrimary.insert(H.Request.Account);
+    if (!H.Request.Wait.NeedsPrimary)
+      Out.WaitingForAny.insert(H.Request.Account);
+  }
+  return Out;
+}
+
+bool ServiceRouter::tryGrant(QueuedRequest &H, DispatchRound &Round) {
   Instant Now = this->InLoop.now();
   TargetPool *P = this->primary();
   if (P && !this->usable(*P))
     P = nullptr;
   if (H.Request.Wait.NeedsPrimary)
-    return P && this->grantAt(H, *P, std::nullopt, AssignedCounts);
+    return P && this->grantAt(H, *P, std::nullopt, Round);
   std::optional<LogPosition> Floor = this->readFloor(H.Request);
   // Without a sample, only a primary that confirms its role may serve the read.
   if (!Floor)
-    return P && this->grantAt(H, *P, std::nullopt, AssignedCounts);
+    return P && this->grantAt(H, *P, std::nullopt, Round);
+  bool OnDemand = this->opensOnDemand();
   std::vector<Candidate> Candidates;
   std::vector<TargetPool *> Pools;
   for (auto &[Id, Pool] : this->Pools) {
     if (!this->usable(*Pool))
       continue;
-    uint32_t Taken = AssignedCounts.contains(Id) ? AssignedCounts[Id] : 0;
-    uint32_t Idle = Pool->idleLinks();
+    const AccountName &Account = H.Request.Account;
+    placement::Distance To = this->distanceTo(*Pool);
+    uint32_t Taken = Round.Unserved[Id];
+    uint32_t TakenOfAccount = Round.UnservedOfAccount[{Id, Account}];
+    uint32_t Idle = Pool->idleLinks(Account);
+    bool MayOpen = Pool->mayOpenFor(Account, Round.waitingAt(*Pool));
     Candidates.push_back({.Id = Id,
                           .Statistics = &Pool->statistics(),
                           .Primary = Pool.get() == P,
-                          .DistanceToTarget = this->OwnLocation.distanceTo(Pool->entry().Centre),
+                          .DistanceToTarget = To,
                           .Slots = Pool->entry().Slots,
                           .Running = Pool->running() + Taken,
-                          .Idle = Idle > Taken ? Idle - Taken : 0,
-                          .MayOpenConnection = Pool->mayOpen()});
-    // Excludes a target that has no connection and cannot open one now.
-    if (Pool->openLinks() == 0 && !Pool->mayOpen()) {
+                          .Idle = Idle > TakenOfAccount ? Idle - TakenOfAccount : 0,
+                          .MayOpenConnection = MayOpen,
+                          .ConnectTime = OnDemand ? Pool->connectTime(To) : absl::ZeroDuration()});
+    // Excludes a target that has no connection of the account and cannot open one now.
+    if (Pool->openLinks(Account) == 0 && !MayOpen) {
       Candidates.pop_back();
       continue;
     }
@@ -546,14 +572,17 @@
     H.Request.Tried.clear();
     return false;
   }
-  return Best && this->grantAt(H, *Pools[*Best], Floor, AssignedCounts);
+  return Best && this->grantAt(H, *Pools[*Best], Floor, Round);
 }
 
 bool ServiceRouter::grantAt(QueuedRequest &H, TargetPool &Pool, std::optional<LogPosition> Floor,
-                            std::map<TargetId, uint32_t> &AssignedCounts) {
+                            DispatchRound &Round) {
   TargetLink *Link = Pool.takeIdle(H.Request.Account, *H.Request.Values);
   if (!Link) {
-    Pool.openForWaiting(H.Request.Account, ++AssignedCounts[Pool.entry().Id]);
+    const TargetId &Id = Pool.entry().Id;
+    ++Round.Unserved[Id];
+    Pool.openForWaiting(H.Request.Account, ++Round.UnservedOfAccount[{Id, H.Request.Account}],
+                        Round.waitingAt(Pool));
     return false;
   }
   Link->HeldSince = this->InLoop.now();
--- a/src/gateway/router.h
+++ b/src/gateway/router.h
@@ -15,7 +15,9 @@
 #include <memory>
 #include <optional>
 #include <random>
+#include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace toucan::gateway {
@@ -150,11 +152,27 @@
   struct QueuedRequest {
     ConnectionRequest Request;
   };
+  // A round of dispatch(): the accounts of the statements that wait at its begin, and the number of
+  // those that got no connection. The accounts are empty if there are no client accounts.
+  struct DispatchRound {
+    std::set<AccountName> WaitingForPrimary;
+    std::set<AccountName> WaitingForAny;
+    std::map<TargetId, uint32_t> Unserved;
+    std::map<std::pair<TargetId, AccountName>, uint32_t> UnservedOfAccount;
+
+    // The accounts that have statements which may run at the target.
+    const std::set<AccountName> &waitingAt(const TargetPool &Pool) const {
+      return Pool.isPrimary() ? this->WaitingForPrimary : this->WaitingForAny;
+    }
+  };
   bool usable(const TargetPool &Pool) const;
+  DispatchRound beginRound() const;
+  // True if the connections of a target are scarce, or used by several accounts.
+  bool opensOnDemand() const;
   placement::QueueLoad loadFor(bool NeedsPrimary);
-  bool tryGrant(QueuedRequest &H, std::map<TargetId, uint32_t> &AssignedCounts);
+  bool tryGrant(QueuedRequest &H, DispatchRound &Round);
   bool grantAt(QueuedRequest &H, TargetPool &Pool, std::optional<LogPosition> Floor,
-               std::map<TargetId, uint32_t> &AssignedCounts);
+               DispatchRound &Round);
   std::optional<LogPosition> readFloor(const ConnectionRequest &W) const;
   void updateRetained();
   // When a connection can be expected for the statement; empty if opening connections does not
--- a/src/placement/choose.cpp
+++ b/src/placement/choose.cpp
@@ -150,7 +150,8 @@
         absl::ToDoubleMilliseconds(C.Statistics->averageResponse(C.DistanceToTarget, Now));
     double Queue = static_cast<double>(C.Running) / std::max(1U, C.Slots);
     // Without an idle connection the read waits until one is opened or becomes idle.
-    double Wait = C.Idle > 0 ? 0 : C.MayOpenConnection ? Answer : 2 * Answer;
+    double Open = std::max(Answer, absl::ToDoubleMilliseconds(C.ConnectTime));
+    double Wait = C.Idle > 0 ? 0 : C.MayOpenConnection ? Open : 2 * Open;
     double Ms = Answer * (1 + Queue) + Wait + distances()[index(C.DistanceToTarget)].CostMs +
                 C.Statistics->failureShare(Now) * FailureCostMs +
                 (C.Primary ? Answer * PrimaryCostFactor : 0);
--- a/src/placement/choose.h
+++ b/src/placement/choose.h
@@ -69,6 +69,8 @@
   uint32_t Running = 0;           // statements of this instance that run on the target
   uint32_t Idle = 0;              // idle open connections
   bool MayOpenConnection = false; // the limit allows another connection
+  // Time of opening a connection where that is usual; zero where connections stay open.
+  absl::Duration ConnectTime;
 };
 
 struct ReadRequirements {
--- a/src/placement/connections_test.cpp
+++ b/src/placement/connections_test.cpp
@@ -261,6 +261,25 @@
   MESSAGE("late " << Shared.Late << ", refused " << Shared.Refused << " of " << Shared.Operations);
 }
 
+// Load pattern: a busy near replica without an idle connection of the account, and another replica
+// of the region with one. The time of opening a connection was taken for one response time.
+TEST_CASE("placement: a read prefers an idle connection to opening one that takes long") {
+  TargetStatistics Near, Other;
+  std::vector<Candidate> All = {{.Id = TargetId("near"),
+                                 .Statistics = &Near,
+                                 .DistanceToTarget = Distance::SameCentre,
+                                 .MayOpenConnection = true},
+                                {.Id = TargetId("other"),
+                                 .Statistics = &Other,
+                                 .DistanceToTarget = Distance::OtherRegion,
+                                 .Idle = 1}};
+  CHECK(chooseForRead(All, {}, at(0), 0) == 0);
+  All[0].ConnectTime = absl::Milliseconds(20);
+  CHECK(chooseForRead(All, {}, at(0), 0) == 0);
+  All[0].ConnectTime = absl::Milliseconds(300);
+  CHECK(chooseForRead(All, {}, at(0), 0) == 1);
+}
+
 // Load pattern: a target that refuses all connections. Statements were admitted to wait for it
 // until their limit.
 TEST_CASE("admission: the time until a connection is open counts as waiting time") {
--- a/src/placement/placement.h
+++ b/src/placement/placement.h
@@ -3,6 +3,7 @@
 #ifndef TOUCAN_PLACEMENT_PLACEMENT_H
 #define TOUCAN_PLACEMENT_PLACEMENT_H
 
+#include "placement/account_links.h"
 #include "placement/choose.h"
 #include "placement/commits.h"
 #include "placement/connections.h"
