--- a/src/placement/choose.h
+++ b/src/placement/choose.h
@@ -71,6 +71,8 @@
   uint32_t Idle = 0;              // idle open connections
   bool MayOpenConnection = false; // the limit allows another connection
   bool Excluded = false;          // the read goes to another data centre, see SpillController
+  // Time of opening a connection where that is usual; zero where connections stay open.
+  absl::Duration ConnectTime;
 };
 
 struct ReadRequirements {
