One copy of weighted rendezvous hashing in the placement library

Cause: connections.cpp and samplers.cpp each had the same hash and rank. Change: placement/rendezvous.h; the samplers use the hash of the retained connections.

--- a/src/placement/connections.cpp
+++ b/src/placement/connections.cpp
@@ -1,10 +1,10 @@
 #include "placement/connections.h"
+#include "placement/rendezvous.h"
 
 #include "absl/hash/hash.h"
 
 #include <algorithm>
 #include <cmath>
-#include <string_view>
 #include <tuple>
 #include <vector>
 
@@ -44,33 +44,6 @@
 constexpr absl::Duration AssumedNearConnectTime = absl::Milliseconds(20);
 constexpr absl::Duration AssumedFarConnectTime = absl::Milliseconds(95);
 
-// Finalizer of SplitMix64, which spreads similar inputs over all bits.
-uint64_t mix(uint64_t X) {
-  X += 0x9E3779B97F4A7C15;
-  X = (X ^ (X >> 30)) * 0xBF58476D1CE4E5B9;
-  X = (X ^ (X >> 27)) * 0x94D049BB133111EB;
-  return X ^ (X >> 31);
-}
-
-// FNV-1a. absl::Hash differs between processes, but all instances must compute the same value.
-uint64_t stableHash(std::string_view Target, std::string_view Instance) {
-  uint64_t Hash = 0xCBF29CE484222325;
-  auto Add = [&Hash](std::string_view Text) {
-    for (char C : Text)
-      Hash = (Hash ^ static_cast<unsigned char>(C)) * 0x100000001B3;
-    Hash = (Hash ^ 0xFF) * 0x100000001B3; // no character of an id
-  };
-  Add(Target);
-  Add(Instance);
-  return mix(Hash);
-}
-
-// Maps a hash to the open interval (0, 1).
-double unitInterval(uint64_t Hash) {
-  constexpr double Steps = 9007199254740992.0; // 2^53
-  return (static_cast<double>(Hash >> 11) + 0.5) / Steps;
-}
-
 } // namespace
 
 bool connectionsScarce(uint32_t Limit, size_t Instances) {
@@ -93,7 +66,7 @@
   All.reserve(Live.size());
   for (const RetentionCandidate &C : Live) {
     double Weight = C.MilliCores > 0 ? C.MilliCores : AssumedMilliCores;
-    double Score = -std::log(unitInterval(stableHash(Target.Value, C.Id.Value))) / Weight;
+    double Score = rendezvousRank(Target.Value, C.Id.Value, Weight);
     All.push_back({.To = C.DistanceToTarget, .Score = Score, .Id = &C.Id});
   }
   std::sort(All.begin(), All.end(), [](const Ranked &A, const Ranked &B) {
@@ -126,7 +99,7 @@
     Mean *= 2;
   ++this->Refusals;
   // Between half and one and a half of the mean.
-  double Jitter = 0.5 + unitInterval(mix(this->Seed ^ mix(++this->Attempts)));
+  double Jitter = 0.5 + unitInterval(mixBits(this->Seed ^ mixBits(++this->Attempts)));
   return std::min(Mean, RefusalBackoffMax) * Jitter;
 }
 
--- a/src/placement/samplers.cpp
+++ b/src/placement/samplers.cpp
@@ -1,7 +1,7 @@
 #include "placement/samplers.h"
+#include "placement/rendezvous.h"
 
 #include <algorithm>
-#include <cmath>
 
 namespace toucan::placement {
 
@@ -13,28 +13,8 @@
 // Weight of an instance whose CPU time is not known, as of a small instance.
 constexpr uint32_t UnknownMilliCores = 100;
 
-// FNV-1a with a final mix (splitmix64). All instances must compute the same value, which the seeded
-// hash of absl does not give.
-uint64_t stableHash(std::string_view Service, std::string_view Instance) {
-  uint64_t H = 0xcbf29ce484222325U;
-  auto Add = [&H](unsigned char C) { H = (H ^ C) * 0x100000001b3U; };
-  for (char C : Service)
-    Add(static_cast<unsigned char>(C));
-  Add(0);
-  for (char C : Instance)
-    Add(static_cast<unsigned char>(C));
-  H = (H ^ (H >> 30)) * 0xbf58476d1ce4e5b9U;
-  H = (H ^ (H >> 27)) * 0x94d049bb133111ebU;
-  return H ^ (H >> 31);
-}
-
-// The candidate with the lowest value is chosen: an exponential variable with the weight as rate,
-// so that each is chosen in proportion to its weight.
 double rank(std::string_view Service, const SamplerCandidate &C) {
-  constexpr double Scale = 1.0 / (1ULL << 53);
-  double Uniform =
-      (static_cast<double>(stableHash(Service, C.Id.Value) >> 11) + 0.5) * Scale; // in (0, 1)
-  return -std::log(Uniform) / (C.MilliCores > 0 ? C.MilliCores : UnknownMilliCores);
+  return rendezvousRank(Service, C.Id.Value, C.MilliCores > 0 ? C.MilliCores : UnknownMilliCores);
 }
 
 } // namespace
