--- a/src/placement/queue.cpp
+++ b/src/placement/queue.cpp
@@ -48,6 +48,7 @@
     const WaitingStatement *W;
   };
   std::vector<Due> ByShare;
+  ByShare.reserve(Order.size());
   absl::flat_hash_map<AccountName, size_t> Seen;
   for (const WaitingStatement &W : Order)
     ByShare.push_back(
