Crowd with a withdrawn key; no misplaced key in the log

Cause: a caller that gave its key in the place of the database had it logged as an unknown database. No test had several queued statements of a withdrawn key beside running ones. Change: with accounts configured, caller_refused does not name a database that is not configured.

--- a/src/gateway/session.cpp
+++ b/src/gateway/session.cpp
@@ -789,9 +789,12 @@
   this->Deps.Counters.add(counterName("callers_refused_", Cause));
   if (this->Deps.Log.allows(this->Deps.InLoop.now())) {
     const catalog::Configuration *Config = this->Deps.Host.configuration();
+    // A caller that gives its key in the place of the database must not have it logged.
+    bool MayBeKey =
+        Config && !Config->Accounts.empty() && !Config->route(DatabaseName(this->Database));
     LogEvent(LogLevel::Info, "caller_refused")
         .kv("session", this->Id.Value)
-        .kv("database", this->Database)
+        .kv("database", MayBeKey ? "not_configured" : std::string_view(this->Database))
         .kv("cause", Cause)
         .kv("configuration", Config ? Config->Version.Value : 0);
   }
