A statement that waits for its admission follows its account

While a configuration is applied, the rate limits admit the waiting statements of an account that has vanished. This happened before the sessions had determined their accounts, so that such a statement was sent although its key was withdrawn, or ran under an account to which its key does not belong any more and past the limit of the new one.

The sessions now determine their accounts first and take the statement out of those that wait.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -175,12 +175,13 @@
     LogEvent(LogLevel::Warn, "keys_not_required").kv("version", Version.Value);
   this->Counters.set("configuration_version", static_cast<int64_t>(Version.Value));
   this->Counters.set("accounts", static_cast<int64_t>(Accounts));
-  this->applyRateLimits();
   std::vector<std::shared_ptr<Session>> Sessions;
   for (auto &[Id, C] : this->Callers)
     Sessions.push_back(C->CallerSession);
   for (const std::shared_ptr<Session> &S : Sessions)
     S->updateAccount();
+  // After updateAccount(): statements of an account that has no limit any more are admitted here.
+  this->applyRateLimits();
   for (const auto &[Name, Limits] : this->Routes.current().Services) {
     ServiceRouter &Router = *this->service(Name).Router;
     Router.setLimits(Limits, this->Instances.aliveCount());
--- a/src/gateway/session.cpp
+++ b/src/gateway/session.cpp
@@ -95,6 +95,12 @@
   } else {
     this->KeyWithdrawn = true;
   }
+  // An operation that waits for its admission has not been counted yet.
+  if (this->Op && this->Op->Admission) {
+    this->Deps.Limits.cancel(this->Op->Account, *this->Op->Admission);
+    this->Op->Admission.reset();
+    this->Op->AdmitAgain = true;
+  }
   if (!this->Op || !this->Op->Queued || !(this->KeyWithdrawn || this->Tx.AccountChanged))
     return;
   if (ServiceRouter *Router = this->Deps.Host.router(this->Op->Route.Service))
@@ -109,8 +115,15 @@
     this->processMessages();
     return;
   }
-  if (this->Closed || !(this->KeyWithdrawn || this->Tx.AccountChanged))
+  if (this->Closed)
     return;
+  if (!(this->KeyWithdrawn || this->Tx.AccountChanged)) {
+    if (this->Op && std::exchange(this->Op->AdmitAgain, false)) {
+      this->Op->Account = this->Account;
+      this->admit();
+    }
+    return;
+  }
   if (this->Op) {
     // The first statement of a transaction is sent only after the target has opened it.
     bool Sent = this->Op->AttemptsInFlight > 0 && this->Tx.State != TxState::Begun;
--- a/src/gateway/session.h
+++ b/src/gateway/session.h
@@ -118,6 +118,7 @@
     Instant Arrived;
     Instant AnswerDeadline;
     std::optional<RateLimits::AdmissionId> Admission; // the rate limit's answer is awaited
+    bool AdmitAgain = false; // the account changed before the operation was admitted
     std::optional<placement::WaitingId> Queued;
     int AttemptsInFlight = 0; // sent to a target and not answered yet
     int Attempts = 0;         // granted a link, in total
