Rate tokens while limits differ between instances

Cases found by reading; each test failed first: - A holder that has not applied a new or raised limit reports that no token is expected for up to 10 minutes. The asking instance refused the account for that time. The wait is now bounded by the time in which a partition of the present limit gets a token. - Tokens requested under a higher limit were used after it was lowered (99 operations in the test, where 26 are allowed in a window). They are now dropped. From a holder that applies another limit, tokens are taken for waiting operations only.

--- a/src/gateway/rate_limits.cpp
+++ b/src/gateway/rate_limits.cpp
@@ -90,6 +90,7 @@
       continue;
     }
     // The account has no limit any more, or no longer exists. Sessions decide about the latter.
+    this->dropRequested(It->first);
     std::deque<Waiter> Waiting = std::move(It->second.Waiting);
     It = this->Accounts.erase(It);
     for (const Waiter &W : Waiting)
@@ -98,11 +99,16 @@
   for (const auto &[Name, L] : New) {
     Account &A = this->Accounts[Name];
     // Tokens of a higher limit would be used on top of those of the new one.
-    if (L.PerSecond < A.Limit.PerSecond || L.Burst < A.Limit.Burst)
+    if (L.PerSecond < A.Limit.PerSecond || L.Burst < A.Limit.Burst) {
       A.Tokens.clear();
+      this->dropRequested(Name);
+    }
     if (!(L == A.Limit)) {
+      A.HolderLimitDiffers = false;
       A.EmptyUntil.fill(absl::InfinitePast());
       A.EmptyAnswers.fill(0);
+      for (Waiter &W : A.Waiting)
+        W.Answers = 0;
     }
     A.Limit = L;
   }
@@ -398,8 +404,9 @@
     G.set_tokens(T.Tokens);
     G.set_next_token_us(toMicroseconds(std::min(T.Next, MaxEmptyTime)));
     auto L = this->Limits.find(AccountName(R.account()));
+    // The receiver bounds it by MaxTokenLifetime and takes it for a mark of the limit.
     if (L != this->Limits.end())
-      G.set_valid_us(toMicroseconds(ratelimit::tokenLifetime(L->second, this->Within)));
+      G.set_valid_us(toMicroseconds(ratelimit::toleratedLifetime(L->second, this->Within)));
     this->Counters.add("rate_tokens_granted", T.Tokens);
   }
   this->Env.send(From, std::move(Message));
@@ -427,30 +434,52 @@
   TokenRequest R = std::move(It->second);
   this->Requests.erase(It);
   this->Env.cancel(R.Timer);
+  this->noteAnswered(From);
   if (!G.holder() && S.Known.Holder == From)
     S.Known.ValidUntil = absl::InfinitePast();
   auto Found = this->Accounts.find(R.Account);
   if (Found == this->Accounts.end())
     return;
   Account &A = Found->second;
-  if (A.Asked == G.request_id())
+  bool Awaited = A.Asked == G.request_id();
+  if (Awaited)
     A.Asked.reset();
-  if (G.holder()) {
-    S.Known.Silent = S.Known.Silent && !(S.Known.Holder == From);
+  if (G.holder() && !R.Dropped) {
     absl::Duration Valid = std::min(fromMicroseconds(G.valid_us(), ratelimit::MaxTokenLifetime),
                                     ratelimit::tokenLifetime(A.Limit, this->Within));
     // Counted from the request, because the tokens were granted at some time after it.
-    A.Tokens.add(std::min(G.tokens(), R.Tokens), R.AskedAt + Valid);
+    uint32_t Usable = std::min(G.tokens(), R.Tokens);
+    // If the holder has not applied a lower limit yet, tokens that are kept would be used after it
+    // has.
+    A.HolderLimitDiffers =
+        G.valid_us() != toMicroseconds(ratelimit::toleratedLifetime(A.Limit, this->Within));
+    if (A.HolderLimitDiffers)
+      Usable = static_cast<uint32_t>(std::min<size_t>(Usable, A.Waiting.size()));
+    A.Tokens.add(Usable, R.AskedAt + Valid);
     if (G.tokens() > 0)
       A.EmptyAnswers[R.Partition] = 0;
     if (G.tokens() < R.Tokens)
       this->noteEmpty(A, R.Partition, fromMicroseconds(G.next_token_us(), MaxEmptyTime), Now);
   }
-  for (Waiter &W : A.Waiting)
-    ++W.Answers;
+  // A late answer was counted at its time-out.
+  if (Awaited && !R.Dropped)
+    for (Waiter &W : A.Waiting)
+      ++W.Answers;
   this->pump(R.Account);
 }
 
+// Tokens of the account that are still to arrive were granted under another limit.
+void RateLimits::dropRequested(const AccountName &Name) {
+  for (auto &[Id, R] : this->Requests)
+    R.Dropped |= R.Account == Name;
+}
+
+void RateLimits::noteAnswered(const InstanceId &Holder) {
+  for (PartitionState &S : this->Partitions)
+    if (S.Known.Holder == Holder)
+      S.Known.Silent = false;
+}
+
 void RateLimits::onRequestTimeout(uint64_t Id) {
   auto It = this->Requests.find(Id);
   if (It == this->Requests.end())
@@ -542,6 +571,8 @@
     uint32_t Wanted =
         ratelimit::tokensWanted(A.Arrivals.perSecond(Now),
                                 ratelimit::tokenLifetime(A.Limit, this->Within), A.Waiting.size());
+    if (A.HolderLimitDiffers)
+      Wanted = static_cast<uint32_t>(A.Waiting.size());
     bool Ahead = Wanted >= MinTokensAhead && A.Tokens.held(Now) < Wanted / 2;
     if (A.Waiting.empty() && !Ahead)
       return;
@@ -623,6 +654,9 @@
 void RateLimits::noteEmpty(Account &A, uint32_t P, absl::Duration Next, Instant Now) {
   constexpr uint32_t MaxShift = 8;
   uint32_t Shift = std::min(A.EmptyAnswers[P]++, MaxShift);
+  // A holder that has not applied this limit yet may expect its next token much later.
+  if (A.Limit.PerSecond > 0)
+    Next = std::min(Next, absl::Seconds(PartitionCount / A.Limit.PerSecond));
   absl::Duration Wait = std::max(Next, MinEmptyTime);
   A.EmptyUntil[P] =
       Now + std::max(Wait, std::min(Wait * static_cast<double>(1U << Shift), MaxEmptyBackoff));
--- a/src/gateway/rate_limits.h
+++ b/src/gateway/rate_limits.h
@@ -116,6 +116,8 @@
     // Consecutive answers of each holder without a token.
     std::array<uint32_t, ratelimit::PartitionCount> EmptyAnswers{};
     uint32_t NextPartition = 0;
+    // The last grant came from a holder that applies another limit, such as the former one.
+    bool HolderLimitDiffers = false;
   };
   // A request for tokens. It is kept after its time-out, because a late grant is still valid.
   struct TokenRequest {
@@ -125,6 +127,7 @@
     uint32_t Tokens = 0;
     Instant AskedAt;
     TimerId Timer;
+    bool Dropped = false; // the limit was lowered since: its tokens are not used
   };
   struct KnownHolder {
     InstanceId Holder;
@@ -162,6 +165,8 @@
   void pump(const AccountName &Name);
   bool requestTokens(const AccountName &Name, Account &A, uint32_t Wanted, Instant Now);
   std::optional<uint32_t> choosePartition(Account &A, Instant Now);
+  void dropRequested(const AccountName &Name);
+  void noteAnswered(const InstanceId &Holder);
   void noteEmpty(Account &A, uint32_t P, absl::Duration Next, Instant Now);
   void refuse(const AccountName &Name, Instant Now, uint32_t MinAnswers);
   Admission refusal(const Account &A, Instant Now) const;
--- a/src/ratelimit/bucket.cpp
+++ b/src/ratelimit/bucket.cpp
@@ -27,13 +27,17 @@
 
 } // namespace
 
-absl::Duration tokenLifetime(const Limit &Of, const Bounds &In) {
+absl::Duration toleratedLifetime(const Limit &Of, const Bounds &In) {
   if (!(Of.PerSecond > 0))
     return absl::ZeroDuration();
   double Tolerance =
       In.Overage * (Of.PerSecond * absl::ToDoubleSeconds(In.Window) + Of.Burst) + In.Slack;
   double Seconds = Tolerance * LifetimeShare / Of.PerSecond;
-  return std::min(MaxTokenLifetime, absl::Seconds(Seconds));
+  return absl::Seconds(Seconds);
+}
+
+absl::Duration tokenLifetime(const Limit &Of, const Bounds &In) {
+  return std::min(MaxTokenLifetime, toleratedLifetime(Of, In));
 }
 
 TokenBucket::TokenBucket(double PerSecond, double Cap, double Tokens, Instant Now)
--- a/src/ratelimit/ratelimit.h
+++ b/src/ratelimit/ratelimit.h
@@ -42,6 +42,8 @@
 // it exceed the limit by at most rate x lifetime, which is 60 % of the tolerance. The rest covers
 // the extra token of each partition's bucket and the first token of a partition that changes hands.
 absl::Duration tokenLifetime(const Limit &Of, const Bounds &In);
+// The same without MaxTokenLifetime. It differs between two limits, except for rare pairs.
+absl::Duration toleratedLifetime(const Limit &Of, const Bounds &In);
 
 class TokenBucket {
 public:
