Tests of decisions of the rate limits that none checked

Fourteen decisions of RateLimits were switched off one at a time; the tests passed without seven of them. Added are cases for: tokens held when a limit is lowered, tokens requested ahead, the announcement with the highest version, an instance that does not hold a partition any more, and an operation whose deadline has passed. Each fails with its decision switched off.

Still without a test: the back-off of an instance that gets no tokens, and that an instance without others keeps its partitions in a drain.

--- a/src/gateway/rate_tokens_test.cpp
+++ b/src/gateway/rate_tokens_test.cpp
@@ -46,11 +46,11 @@
     }
     this->Now = End;
   }
-  void announce(uint32_t Partition, const std::string &Holder) {
+  void announce(uint32_t Partition, const std::string &Holder, uint64_t Version = 1) {
     proto::Envelope Message;
     proto::RateHolder &H = *Message.mutable_rate_holder();
     H.set_partition(Partition);
-    H.set_version(1);
+    H.set_version(Version);
     H.set_valid_us(9000000);
     this->Limits.onMessage(InstanceId(Holder), Message);
   }
@@ -60,20 +60,21 @@
       this->announce(P, "holder-" + std::to_string(P));
   }
   void setLimit(const Limit &L) { this->Limits.setLimits({{Acme, L}}); }
-  void admit(int Count = 1) {
+  void admit(int Count = 1, absl::Duration Time = absl::Seconds(10)) {
     for (int I = 0; I < Count; ++I)
-      this->Limits.admit(Acme, this->Now + absl::Seconds(10), [this](const Admission &A) {
+      this->Limits.admit(Acme, this->Now + Time, [this](const Admission &A) {
         ++(A.Admitted ? this->Admitted : this->Refused);
       });
   }
   // Answers a request as a holder that applies HolderLimit.
-  void answer(size_t Request, uint32_t Tokens, absl::Duration Next, const Limit &HolderLimit) {
+  void answer(size_t Request, uint32_t Tokens, absl::Duration Next, const Limit &HolderLimit,
+              bool Holds = true) {
     const auto &[To, R] = this->Requests.at(Request);
     proto::Envelope Message;
     proto::RateGrant &G = *Message.mutable_rate_grant();
     G.set_request_id(R.request_id());
     G.set_partition(R.partition());
-    G.set_holder(true);
+    G.set_holder(Holds);
     G.set_tokens(Tokens);
     G.set_valid_us(static_cast<uint64_t>(
         absl::ToInt64Microseconds(ratelimit::toleratedLifetime(HolderLimit, {}))));
@@ -163,6 +164,7 @@
   A.answerLast(39, absl::ZeroDuration(), Low);
   REQUIRE(A.Admitted == 40);
   size_t Ahead = A.Requests.size();
+  REQUIRE(Ahead == 3);
   REQUIRE(A.Requests.back().second.tokens() > 5);
   A.answerLast(A.Requests.back().second.tokens(), absl::ZeroDuration(), High);
   CHECK(A.Requests.size() == Ahead); // nothing more is requested ahead
@@ -206,3 +208,72 @@
   CHECK(A.Admitted == 1);
   CHECK(A.Refused == 0);
 }
+
+namespace {
+
+// Has asked for tokens ahead, after 40 operations that arrived at once.
+struct BusyAsker : Asker {
+  BusyAsker() {
+    this->setLimit(Low);
+    this->announceAll();
+    this->admit(40);
+    this->answerLast(1, absl::ZeroDuration(), Low);
+    this->answerLast(39, absl::ZeroDuration(), Low);
+    REQUIRE(this->Admitted == 40);
+    REQUIRE(this->Requests.size() == 3);
+  }
+};
+
+} // namespace
+
+// Guards against operations of a busy account that wait for a holder each, and against tokens held
+// under a higher limit that are used after it was lowered.
+TEST_CASE("tokens are requested ahead, and dropped when the limit is lowered") {
+  BusyAsker A;
+  A.answerLast(A.Requests.back().second.tokens(), absl::ZeroDuration(), Low);
+  size_t Asked = A.Requests.size();
+  A.admit();
+  CHECK(A.Admitted == 41);
+  A.setLimit({.PerSecond = Low.PerSecond, .Burst = Low.Burst / 2});
+  A.admit();
+  CHECK(A.Admitted == 41);
+  CHECK(A.Requests.size() > Asked);
+}
+
+// Guards against requests to a holder whose partition another instance has taken over, which would
+// count as answers without a token.
+TEST_CASE("the announcement with the highest version counts") {
+  Asker A;
+  A.setLimit(Low);
+  A.announce(0, "new", 7);
+  A.announce(0, "old", 6);
+  A.admit();
+  REQUIRE(A.Requests.size() == 1);
+  CHECK(A.Requests[0].first == InstanceId("new"));
+}
+
+// Guards against an instance that goes on asking one which has lost its partition.
+TEST_CASE("an instance that does not hold the partition is not asked again") {
+  Asker A;
+  A.setLimit(Low);
+  A.announce(0, "former");
+  A.admit();
+  A.answer(0, 0, absl::ZeroDuration(), Low, /*Holds=*/false);
+  CHECK(A.Refused == 1);
+  A.admit();
+  CHECK(A.Refused == 2);
+  CHECK(A.Requests.size() == 1);
+}
+
+// Guards against a token that is taken for an operation which cannot be started in time any more.
+TEST_CASE("an operation whose deadline has passed takes no token") {
+  Asker A;
+  A.setLimit(Low);
+  A.announceAll();
+  A.admit(1, absl::Milliseconds(100));
+  A.admit();
+  A.advance(absl::Milliseconds(120));
+  A.answer(0, 1, absl::ZeroDuration(), Low);
+  CHECK(A.Refused == 1);
+  CHECK(A.Admitted == 1);
+}
