Callers and their connections have a class of their own

It connected the parts of an instance, and also accepted callers and held their connections within limits. Change: CallerConnections (callers.h) accepts callers, moves their bytes and applies memory and time bounds, with the members that only this needs. Gateway passes the calls of sessions on to it. It is the last member, so that sessions are closed while routers and limits exist, as the destructor of Gateway did before. Drain has the same steps.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -1,13 +1,6 @@
 #include "gateway/gateway.h"
-#include "gateway/socket.h"
-
-#include <sys/epoll.h>
-#include <sys/socket.h>
-#include <unistd.h>
 
 #include <algorithm>
-#include <cerrno>
-#include <cstring>
 #include <utility>
 
 namespace toucan::gateway {
@@ -25,19 +18,6 @@
 constexpr uint64_t SaveJitterMs = 4000;
 // Interval of the reads of the claims while a change of primary is under way.
 constexpr absl::Duration ClaimCheckInterval = absl::Milliseconds(200);
-// Callers accepted per event, so that a reconnect storm does not delay running statements.
-constexpr int AcceptsPerRound = 64;
-// Callers above the limit that are being refused at a time. They use descriptors of the reserve.
-constexpr size_t MaxRefusedCallers = 16;
-// Interval at which the time bounds of callers are checked and their metrics are set.
-constexpr absl::Duration CallerCheckInterval = absl::Milliseconds(500);
-// Interval at which a half-closed caller with work left is checked for acknowledgements, of which
-// the loop has no event. Callers are about 2 ms away.
-constexpr absl::Duration AcknowledgementInterval = absl::Milliseconds(5);
-// Delay of the next accept after one that failed for lack of descriptors or memory. Without it, the
-// loop would run without a pause.
-constexpr absl::Duration AcceptRetryDelay = absl::Milliseconds(100);
-
 } // namespace
 
 Gateway::Gateway(Loop &InLoop, Codec &Protocol, Metrics &Counters, store::RowStore &Rows,
@@ -66,7 +46,15 @@
       Groups(InLoop, Rows, absl::Milliseconds(this->Options.Seed % SaveJitterMs),
              this->Options.GroupGrowthDelay),
       Claims(Rows, this->Options.Self), Promotions(Promotions), Reader(Reader),
-      Budget(callerLimits(this->Options.MemoryLimitBytes)), LastTick(InLoop.now()) {
+      LastTick(InLoop.now()), Callers({.InLoop = InLoop,
+                                       .Protocol = Protocol,
+                                       .Counters = Counters,
+                                       .Host = *this,
+                                       .Limits = this->Limits},
+                                      {.Address = this->Options.CallerAddress,
+                                       .MaxSessions = this->Options.MaxSessions,
+                                       .MemoryLimitBytes = this->Options.MemoryLimitBytes,
+                                       .Times = this->Options.Times}) {
   using Kind = PeerLink::Kind;
   for (Kind K : {Kind::kRateRequest, Kind::kRateGrant, Kind::kRateHolder})
     this->Peers.handle(K, [this](const InstanceId &From, const proto::Envelope &M) {
@@ -74,22 +62,8 @@
     });
 }
 
-Gateway::~Gateway() {
-  if (this->ListenFd >= 0) {
-    this->InLoop.unwatch(this->ListenFd);
-    ::close(this->ListenFd);
-  }
-  std::vector<SessionId> Ids;
-  for (const auto &[Id, C] : this->Callers)
-    Ids.push_back(Id);
-  for (SessionId Id : Ids)
-    this->remove(Id);
-}
-
 Result<void> Gateway::start() {
-  BOOST_LEAF_ASSIGN(this->ListenFd, listenOn(this->Options.CallerAddress));
-  setBufferSizes(this->ListenFd, CallerSocketBytes);
-  this->InLoop.watch(this->ListenFd, EPOLLIN, [this](uint32_t) { this->acceptCallers(); });
+  BOOST_LEAF_CHECK(this->Callers.start());
   BOOST_LEAF_CHECK(this->Peers.start());
   this->Instances.OnAlive = [this](const std::map<InstanceId, InstanceAddress> &Alive) {
     this->Alive = Alive;
@@ -176,9 +150,7 @@
   this->Counters.set("configuration_version", static_cast<int64_t>(Version.Value));
   this->Counters.set("accounts", static_cast<int64_t>(Accounts));
   this->applyRateLimits();
-  std::vector<std::shared_ptr<Session>> Sessions;
-  for (auto &[Id, C] : this->Callers)
-    Sessions.push_back(C->CallerSession);
+  std::vector<std::shared_ptr<Session>> Sessions = this->Callers.sessions();
   for (const std::shared_ptr<Session> &S : Sessions)
     S->updateAccount();
   for (const auto &[Name, Limits] : this->Routes.current().Services) {
@@ -454,311 +426,12 @@
   }
   this->checkClaims();
   this->updateReadiness();
-  this->resumePaused();
-  if (Now >= this->NextCallerCheck)
-    this->checkCallers();
+  this->Callers.tick(Now);
   if (this->Draining)
     this->continueDrain();
   this->InLoop.at(Now + TickInterval, [this] { this->tick(); });
 }
 
-void Gateway::acceptCallers() {
-  for (int I = 0;
-       I < AcceptsPerRound && this->Callers.size() < this->Options.MaxSessions + MaxRefusedCallers;
-       ++I) {
-    int Fd = accept4(this->ListenFd, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
-    if (Fd < 0) {
-      if (errno == EMFILE || errno == ENFILE || errno == ENOMEM || errno == ENOBUFS)
-        this->pauseAccepting();
-      return;
-    }
-    setSocketOptions(Fd);
-    SessionId Id(this->NextSession++);
-    auto C = std::make_unique<Caller>();
-    C->Fd = Fd;
-    C->WatchedEvents = EPOLLIN;
-    C->Deadlines = CallerDeadlines(this->InLoop.now());
-    std::shared_ptr<Session> NewSession =
-        std::make_shared<Session>(SessionDependencies{.InLoop = this->InLoop,
-                                                      .Protocol = this->Protocol,
-                                                      .Counters = this->Counters,
-                                                      .Host = *this,
-                                                      .Log = this->Log,
-                                                      .Limits = this->Limits},
-                                  Id);
-    C->CallerSession = NewSession;
-    bool FitsMemory = this->Budget.mayAccept();
-    this->account(Id, *C);
-    this->Callers.emplace(Id, std::move(C));
-    this->InLoop.watch(Fd, EPOLLIN, [this, Id](uint32_t E) { this->onCallerEvents(Id, E); });
-    this->Counters.add("callers_accepted");
-    if (this->Callers.size() > this->Options.MaxSessions)
-      NewSession->refuse({.Code = ErrorCode::TooManyConnections, .Text = "session limit reached"},
-                         "session_limit");
-    else if (!FitsMemory)
-      NewSession->refuse({.Code = ErrorCode::TooManyConnections, .Text = "memory limit reached"},
-                         "memory_limit");
-  }
-}
-
-void Gateway::pauseAccepting() {
-  this->Counters.add("accepts_failed");
-  if (this->Log.allows(this->InLoop.now()))
-    LogEvent(LogLevel::Warn, "accept_failed")
-        .kv("cause", std::strerror(errno))
-        .kv("sessions", this->Callers.size());
-  this->InLoop.rewatch(this->ListenFd, 0);
-  this->InLoop.at(this->InLoop.now() + AcceptRetryDelay,
-                  [this] { this->InLoop.rewatch(this->ListenFd, EPOLLIN); });
-}
-
-void Gateway::onCallerEvents(SessionId Id, uint32_t Events) {
-  auto It = this->Callers.find(Id);
-  if (It == this->Callers.end())
-    return;
-  Caller &C = *It->second;
-  // With both directions shut down or after a reset, no answer reaches the caller any more. Bytes
-  // that arrived before are not read then.
-  if (Events & EPOLLERR || (C.HalfClosed && (Events & EPOLLHUP))) {
-    this->remove(Id);
-    return;
-  }
-  if ((Events & (EPOLLIN | EPOLLHUP)) && !C.HalfClosed && this->Budget.mayRead(Id)) {
-    std::string Bytes;
-    if (readInto(C.Fd, Bytes, MaxCallerReadBytes, C.HalfClosed) == Transfer::Closed) {
-      this->remove(Id);
-      return;
-    }
-    std::shared_ptr<Session> S = C.CallerSession;
-    if (!Bytes.empty())
-      S->onBytes(Bytes);
-  }
-  // onBytes may have removed the caller, so flush looks it up again.
-  this->flush(Id);
-}
-
-bool Gateway::send(SessionId Id, std::string Bytes) {
-  auto It = this->Callers.find(Id);
-  if (It == this->Callers.end())
-    return false;
-  Caller &C = *It->second;
-  if (C.Unsent.empty())
-    C.Unsent = std::move(Bytes);
-  else
-    C.Unsent.append(Bytes);
-  if (!this->write(Id, C)) {
-    // The session is the caller of this function, so it is removed in a later task of the loop.
-    C.Ending = true;
-    C.Unsent.clear();
-    this->InLoop.at(this->InLoop.now(), [this, Id] { this->remove(Id); });
-    return false;
-  }
-  if (C.HalfClosed)
-    this->flushLater(Id);
-  this->updateWatch(Id, C);
-  return true;
-}
-
-bool Gateway::write(SessionId Id, Caller &C) {
-  size_t Before = C.Unsent.size();
-  bool Connected = writeFrom(C.Fd, C.Unsent) != Transfer::Closed;
-  C.SentBytes += Before - C.Unsent.size();
-  releaseSpareCapacity(C.Unsent);
-  this->account(Id, C);
-  return Connected;
-}
-
-void Gateway::end(SessionId Id) {
-  auto It = this->Callers.find(Id);
-  if (It == this->Callers.end() || It->second->Ending)
-    return;
-  It->second->Ending = true;
-  this->flushLater(Id);
-}
-
-void Gateway::flushLater(SessionId Id) {
-  this->InLoop.at(this->InLoop.now(), [this, Id] { this->flush(Id); });
-}
-
-void Gateway::flush(SessionId Id) {
-  auto It = this->Callers.find(Id);
-  if (It == this->Callers.end())
-    return;
-  if (!this->write(Id, *It->second)) {
-    this->remove(Id);
-    return;
-  }
-  // Processing may send, and thus remove the caller in a later task.
-  std::shared_ptr<Session> S = It->second->CallerSession;
-  S->resume();
-  It = this->Callers.find(Id);
-  if (It == this->Callers.end())
-    return;
-  Caller &C = *It->second;
-  if (C.HalfClosed && S->heldBack() && !std::exchange(C.FlushDue, true))
-    this->InLoop.at(this->InLoop.now() + AcknowledgementInterval, [this, Id] {
-      if (auto At = this->Callers.find(Id); At != this->Callers.end())
-        At->second->FlushDue = false;
-      this->flush(Id);
-    });
-  this->endHalfClosed(C);
-  if (C.Ending && C.Unsent.empty()) {
-    this->remove(Id);
-    return;
-  }
-  this->account(Id, C);
-  this->updateWatch(Id, C);
-}
-
-// A half-closed caller may be gone. If it is, its machine answers the next bytes with a reset, so
-// that the next statement waits until the answers before it are acknowledged. Otherwise statements
-// would run for a caller that can get no answer any more.
-bool Gateway::mayProcess(SessionId Id) const {
-  auto It = this->Callers.find(Id);
-  if (It == this->Callers.end())
-    return false;
-  const Caller &C = *It->second;
-  if (C.HalfClosed && (!C.Unsent.empty() || !allAcknowledged(C.Fd)))
-    return false;
-  return this->Budget.mayProcess(Id);
-}
-
-// The caller can send nothing more, so that an open transaction would never end: close() rolls it
-// back. An incomplete message is dropped.
-void Gateway::endHalfClosed(Caller &C) {
-  if (!C.HalfClosed || C.Ending || C.CallerSession->hasWork())
-    return;
-  C.Ending = true;
-  C.CallerSession->close();
-}
-
-void Gateway::account(SessionId Id, const Caller &C) {
-  CallerBytes B{.Input = C.CallerSession->inputBytes(),
-                .Statement = C.CallerSession->statementBytes(),
-                .State = C.CallerSession->stateBytes(),
-                .Unsent = C.Unsent.capacity()};
-  // The kernel's buffer is full if it did not take all, and may be full if it is not read.
-  if (!C.Unsent.empty())
-    B.Kernel += FullKernelBufferBytes;
-  if (!(C.WatchedEvents & EPOLLIN) && !C.HalfClosed)
-    B.Kernel += FullKernelBufferBytes;
-  this->Budget.update(Id, B);
-  if (!this->ClosesHeaviest && this->Budget.toClose()) {
-    // Sessions may be on the stack, so they are removed in a later task of the loop.
-    this->ClosesHeaviest = true;
-    this->InLoop.at(this->InLoop.now(), [this] { this->closeHeaviest(); });
-  }
-}
-
-void Gateway::closeHeaviest() {
-  this->ClosesHeaviest = false;
-  while (std::optional<SessionId> Id = this->Budget.toClose())
-    this->closeCaller(*Id, "memory");
-  this->resumePaused();
-}
-
-// Closes a caller that is over a limit. An answer that was begun stays incomplete: its READY line
-// is not sent. "Not run" is told only if no statement is running and no answer is begun.
-void Gateway::closeCaller(SessionId Id, std::string_view Cause) {
-  auto It = this->Callers.find(Id);
-  if (It == this->Callers.end()) {
-    this->Budget.remove(Id);
-    return;
-  }
-  Caller &C = *It->second;
-  this->Counters.add(std::string("callers_closed_").append(Cause));
-  if (this->Log.allows(this->InLoop.now())) {
-    const CallerBytes &All = this->Budget.sum();
-    LogEvent(LogLevel::Info, "caller_closed")
-        .kv("session", Id.Value)
-        .kv("cause", Cause)
-        .kv("input", C.CallerSession->buffered())
-        .kv("state", C.CallerSession->stateBytes())
-        .kv("unsent", C.Unsent.size())
-        .kv("all_callers", All.total())
-        .kv("limit", this->Budget.limits().TotalBytes);
-  }
-  if (C.Unsent.empty() && !C.Ending && !C.CallerSession->running()) {
-    std::string Out;
-    this->Protocol.appendSessionRefused(Out, {.Code = ErrorCode::Busy, .Text = "not run"});
-    C.Unsent = std::move(Out);
-    writeFrom(C.Fd, C.Unsent);
-  }
-  this->remove(Id);
-}
-
-// Callers that were paused for the sake of all go on once the pressure has ended or their own share
-// has grown. Reading is resumed here as well, because a paused caller has no events.
-void Gateway::resumePaused() {
-  std::vector<SessionId> Paused(this->PausedCallers.begin(), this->PausedCallers.end());
-  for (SessionId Id : Paused)
-    if (this->Budget.mayRead(Id) || this->Budget.mayProcess(Id))
-      this->flush(Id);
-}
-
-// Applies the time bounds and sets the metrics.
-void Gateway::checkCallers() {
-  Instant Now = this->InLoop.now();
-  this->NextCallerCheck = Now + CallerCheckInterval;
-  std::vector<std::pair<SessionId, std::string_view>> Late;
-  std::vector<SessionId> Ended;
-  for (auto &[Id, C] : this->Callers) {
-    const Session &S = *C->CallerSession;
-    CallerProgress P{.Opened = S.opened() || C->Ending,
-                     .InMessage = !C->Ending && !S.hasWork() && S.buffered() > 0,
-                     .Messages = S.messagesTaken(),
-                     .HasUnsent = !C->Unsent.empty(),
-                     .SentBytes = C->SentBytes};
-    if (std::string_view Cause = C->Deadlines.check(Now, P, this->Options.Times); !Cause.empty())
-      Late.emplace_back(Id, Cause);
-    // No answer follows that would end a half-closed caller which left an incomplete message.
-    if (C->HalfClosed && !S.hasWork())
-      Ended.push_back(Id);
-  }
-  for (SessionId Id : Ended)
-    this->flush(Id);
-  for (const auto &[Id, Cause] : Late)
-    this->closeCaller(Id, Cause);
-  const CallerBytes &All = this->Budget.sum();
-  this->Counters.set("caller_bytes_limit", static_cast<int64_t>(this->Budget.limits().TotalBytes));
-  this->Counters.set("caller_bytes_input", static_cast<int64_t>(All.Input));
-  this->Counters.set("caller_bytes_statements", static_cast<int64_t>(All.Statement));
-  this->Counters.set("caller_bytes_state", static_cast<int64_t>(All.State));
-  this->Counters.set("caller_bytes_unsent", static_cast<int64_t>(All.Unsent));
-  this->Counters.set("caller_bytes_kernel", static_cast<int64_t>(All.Kernel));
-  this->Counters.set("callers", static_cast<int64_t>(this->Callers.size()));
-  this->Counters.set("callers_paused", static_cast<int64_t>(this->PausedCallers.size()));
-}
-
-void Gateway::updateWatch(SessionId Id, Caller &C) {
-  uint32_t Wanted = C.Unsent.empty() ? 0U : static_cast<uint32_t>(EPOLLOUT);
-  bool MayRead = this->Budget.mayRead(Id);
-  if (MayRead && !C.HalfClosed)
-    Wanted |= EPOLLIN;
-  if (MayRead && this->Budget.mayProcess(Id))
-    this->PausedCallers.erase(Id);
-  else
-    this->PausedCallers.insert(Id);
-  if (Wanted == C.WatchedEvents)
-    return;
-  C.WatchedEvents = Wanted;
-  this->InLoop.rewatch(C.Fd, Wanted);
-  this->account(Id, C);
-}
-
-void Gateway::remove(SessionId Id) {
-  auto It = this->Callers.find(Id);
-  if (It == this->Callers.end())
-    return;
-  std::unique_ptr<Caller> C = std::move(It->second);
-  this->Callers.erase(It);
-  this->PausedCallers.erase(Id);
-  this->Budget.remove(Id);
-  this->InLoop.unwatch(C->Fd);
-  ::close(C->Fd);
-  C->CallerSession->close();
-}
-
 void Gateway::drain(Instant TransactionsEnd, Instant Deadline, std::function<void()> Done) {
   this->Draining = true;
   this->CloseIdleFrom = std::min(this->InLoop.now() + BalancerNoticeDelay, TransactionsEnd);
@@ -773,35 +446,15 @@
   this->updateReadiness();
 }
 
-bool Gateway::isIdle(const Caller &C) {
-  return C.CallerSession->idle() && C.CallerSession->buffered() == 0 && C.Unsent.empty();
-}
-
 // Closes the idle sessions, and rolls back idle transactions after their deadline.
 void Gateway::continueDrain() {
   Instant Now = this->InLoop.now();
   if (!this->OnDrained || Now < this->CloseIdleFrom)
     return;
-  std::vector<std::shared_ptr<Session>> Stopping;
   if (Now >= this->DrainDeadline - FinalAnswerMargin)
-    for (auto &[Id, C] : this->Callers)
-      Stopping.push_back(C->CallerSession);
-  for (const std::shared_ptr<Session> &S : Stopping)
-    S->stopServing();
-  std::vector<SessionId> Idle;
-  for (auto &[Id, C] : this->Callers) {
-    if (Now >= this->TransactionDeadline)
-      C->CallerSession->abortIdleTransaction("shutdown");
-    if (isIdle(*C))
-      Idle.push_back(Id);
-  }
-  for (SessionId Id : Idle) {
-    // A request may have arrived that the loop has not read yet.
-    this->onCallerEvents(Id, EPOLLIN);
-    auto It = this->Callers.find(Id);
-    if (It != this->Callers.end() && isIdle(*It->second))
-      this->remove(Id);
-  }
+    for (const std::shared_ptr<Session> &S : this->Callers.sessions())
+      S->stopServing();
+  this->Callers.closeIdle(Now >= this->TransactionDeadline);
   if (!this->Callers.empty() && Now < this->DrainDeadline)
     return;
   LogEvent(LogLevel::Info, "drain_ended").kv("sessions_cut", this->Callers.size());
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -3,7 +3,7 @@
 #ifndef TOUCAN_GATEWAY_GATEWAY_H
 #define TOUCAN_GATEWAY_GATEWAY_H
 
-#include "gateway/caller_budget.h"
+#include "gateway/callers.h"
 #include "gateway/changes.h"
 #include "gateway/codec.h"
 #include "gateway/groups.h"
@@ -16,8 +16,6 @@
 #include "gateway/samples.h"
 #include "gateway/session.h"
 
-#include "absl/container/flat_hash_set.h"
-
 #include <functional>
 #include <map>
 #include <memory>
@@ -49,7 +47,6 @@
 public:
   Gateway(Loop &InLoop, Codec &Protocol, Metrics &Counters, store::RowStore &Rows,
           Promoter &Promotions, TargetReader &Reader, GatewayOptions Options);
-  ~Gateway() override;
 
   Result<void> start();
 
@@ -71,50 +68,22 @@
 
   const catalog::Configuration *configuration() const override;
   ServiceRouter *router(const catalog::ServiceName &Service) override;
-  bool send(SessionId Id, std::string Bytes) override;
-  void end(SessionId Id) override;
-  bool mayProcess(SessionId Id) const override;
-  size_t maxStateBytes() const override { return this->Budget.limits().CallerBytes; }
+  bool send(SessionId Id, std::string Bytes) override {
+    return this->Callers.send(Id, std::move(Bytes));
+  }
+  void end(SessionId Id) override { this->Callers.end(Id); }
+  bool mayProcess(SessionId Id) const override { return this->Callers.mayProcess(Id); }
+  size_t maxStateBytes() const override { return this->Callers.maxStateBytes(); }
 
   // Called with the new value of ready() when it changes.
   std::function<void(bool)> OnReadinessChange;
 
 private:
-  struct Caller {
-    int Fd = -1;
-    std::shared_ptr<Session> CallerSession;
-    std::string Unsent;
-    bool Ending = false;     // the session has ended; removed once Unsent is written
-    bool HalfClosed = false; // the caller has ended its sending side
-    bool FlushDue = false;   // flush() is scheduled to look for acknowledgements
-    uint32_t WatchedEvents = 0;
-    uint64_t SentBytes = 0;
-    CallerDeadlines Deadlines{absl::InfiniteFuture()};
-  };
   struct ServiceState {
     std::unique_ptr<ServiceRouter> Router;
     std::unique_ptr<ChangeRunner> Changes;
   };
 
-  // Owes its caller nothing: no statement, transaction, input or unsent answer.
-  static bool isIdle(const Caller &C);
-  void acceptCallers();
-  void pauseAccepting();
-  void onCallerEvents(SessionId Id, uint32_t Events);
-  void flush(SessionId Id);
-  void updateWatch(SessionId Id, Caller &C);
-  // Reports the caller's sizes to the budget, and schedules the closing of callers if it is spent.
-  void account(SessionId Id, const Caller &C);
-  // Writes what the socket takes. False if the connection has failed.
-  bool write(SessionId Id, Caller &C);
-  void flushLater(SessionId Id);
-  void closeHeaviest();
-  void closeCaller(SessionId Id, std::string_view Cause);
-  // Ends a half-closed caller that has its answers.
-  void endHalfClosed(Caller &C);
-  void resumePaused();
-  void checkCallers();
-  void remove(SessionId Id);
   void tick();
   void tickSamples(Instant Now);
   void applyChange(const catalog::TargetChange &Change);
@@ -160,14 +129,6 @@
   std::map<catalog::ServiceName, ServiceState> Services;
   std::map<TargetId, catalog::ServiceName> ServiceOf;
   std::map<TargetId, std::string> Unreadable; // targets whose registration is unreadable, and why
-  absl::flat_hash_map<SessionId, std::unique_ptr<Caller>> Callers;
-  CallerBudget Budget;
-  bool ClosesHeaviest = false; // closeHeaviest() is scheduled
-  Instant NextCallerCheck = absl::InfinitePast();
-  absl::flat_hash_set<SessionId> PausedCallers; // not read or not processed
-  RequestLog Log;
-  int ListenFd = -1;
-  uint64_t NextSession = 1;
   Instant LastTick;
   bool Ready = false;
   bool Draining = false;
@@ -175,6 +136,8 @@
   Instant TransactionDeadline;
   Instant DrainDeadline;
   std::function<void()> OnDrained;
+  // Destroyed first, because closing its sessions uses the members above.
+  CallerConnections Callers;
 };
 
 } // namespace toucan::gateway
