Tests of the orders that instances compute by hashing

Cause: three copies of a hash are to be reduced to one, and instances of two versions must compute the same orders while they are replaced. Only the owners of three databases had fixed expected values.

--- a/src/member/owners_test.cpp
+++ b/src/member/owners_test.cpp
@@ -223,3 +223,16 @@
     CHECK(V.ownerOf(DatabaseName("stock")) == InstanceId("proxy-3"));
   }
 }
+
+// As above, over more names, so that two hashes cannot agree by chance.
+TEST_CASE("the rendezvous hash gives the same owners of many databases in every build") {
+  std::vector<Member> Members;
+  Members.reserve(8);
+  for (int I = 0; I < 8; ++I)
+    Members.push_back({.Id = InstanceId(absl::StrFormat("proxy-%d", I))});
+  std::string Owners;
+  for (int I = 0; I < 16; ++I)
+    Owners +=
+        computeOwner(makeGroup(absl::StrFormat("db-%d", I), {}), Members).value().Value.back();
+  CHECK(Owners == "1332132143320047");
+}
--- a/src/ratelimit/ratelimit_test.cpp
+++ b/src/ratelimit/ratelimit_test.cpp
@@ -3,6 +3,7 @@
 #include <doctest/doctest.h>
 
 #include <set>
+#include <string>
 
 using namespace toucan;
 using namespace toucan::ratelimit;
@@ -163,6 +164,27 @@
   CHECK(std::set<InstanceId>(First.begin(), First.end()).size() > 1);
 }
 
+// Guards against a change of the hash: instances of different versions would try in different
+// orders, and claim the same partition at the same time.
+TEST_CASE("the order of the claims is the same in every version") {
+  std::vector<InstanceId> All;
+  All.reserve(8);
+  for (int I = 0; I < 8; ++I)
+    All.emplace_back("proxy-" + std::to_string(I));
+  std::vector<std::string> Expected{"41256307", "61235407", "02514673", "61420573"};
+  for (uint32_t P = 0; P < PartitionCount; ++P) {
+    std::string Order(All.size(), '?');
+    for (const InstanceId &Self : All) {
+      std::vector<InstanceId> Others;
+      for (const InstanceId &Other : All)
+        if (!(Other == Self))
+          Others.push_back(Other);
+      Order.at(claimRank(Self, Others, P)) = Self.Value.back();
+    }
+    CHECK(Order == Expected.at(P));
+  }
+}
+
 namespace {
 
 // A row that one instance writes; the store's clock is that of the test.
