One implementation of the hash behind common orders

Cause: rendezvous.cpp, owners.cpp and lease.cpp had their own copies of FNV-1a, and the first two their own copies of the finalizer of SplitMix64. Change: base/hash.h has both. What differs stays where it is, because the orders must not change: the separators, the first addition of mixBits(), and the final mix of the order of claims.

--- a/src/member/owners.cpp
+++ b/src/member/owners.cpp
@@ -1,5 +1,6 @@
 #include "member/owners.h"
 
+#include "base/hash.h"
 #include "member/view.h"
 
 #include <algorithm>
@@ -15,25 +16,11 @@
 constexpr int SameRegion = 1;
 constexpr int OtherRegion = 0;
 
-uint64_t fnv1a(uint64_t Hash, std::string_view Text) {
-  constexpr uint64_t FnvPrime = 0x100000001b3U;
-  for (char C : Text)
-    Hash = (Hash ^ static_cast<unsigned char>(C)) * FnvPrime;
-  return Hash;
-}
-
-// The weight is 64-bit FNV-1a over both names, followed by the finalizer of SplitMix64. It must be
-// the same in every process and build, so std::hash and the Abseil hash cannot be used.
-uint64_t keyHash(std::string_view Key) {
-  constexpr uint64_t FnvOffset = 0xcbf29ce484222325U;
-  return fnv1a(fnv1a(FnvOffset, Key), std::string_view("\0", 1));
-}
+// The weight is a hash of both names. It must be the same in every version.
+uint64_t keyHash(std::string_view Key) { return fnv1a(std::string_view("\0", 1), fnv1a(Key)); }
 
 uint64_t rendezvousWeight(uint64_t KeyHash, std::string_view Node) {
-  uint64_t Hash = fnv1a(KeyHash, Node);
-  Hash = (Hash ^ (Hash >> 30)) * 0xbf58476d1ce4e5b9U;
-  Hash = (Hash ^ (Hash >> 27)) * 0x94d049bb133111ebU;
-  return Hash ^ (Hash >> 31);
+  return splitMixFinalizer(fnv1a(Node, KeyHash));
 }
 
 int localityOf(const Place &At, const Group &G) {
--- a/src/placement/rendezvous.cpp
+++ b/src/placement/rendezvous.cpp
@@ -1,32 +1,21 @@
 #include "placement/rendezvous.h"
 
+#include "base/hash.h"
+
 #include <cmath>
 
 namespace toucan::placement {
 
 namespace {
 
-// FNV-1a. absl::Hash differs between processes, but all instances must compute the same value.
 uint64_t stableHash(std::string_view Key, std::string_view Candidate) {
-  uint64_t Hash = 0xCBF29CE484222325;
-  auto Add = [&Hash](std::string_view Text) {
-    for (char C : Text)
-      Hash = (Hash ^ static_cast<unsigned char>(C)) * 0x100000001B3;
-    Hash = (Hash ^ 0xFF) * 0x100000001B3; // no character of an id
-  };
-  Add(Key);
-  Add(Candidate);
-  return mixBits(Hash);
+  constexpr std::string_view Separator = "\xFF"; // no character of an id
+  return mixBits(fnv1a(Separator, fnv1a(Candidate, fnv1a(Separator, fnv1a(Key)))));
 }
 
 } // namespace
 
-uint64_t mixBits(uint64_t X) {
-  X += 0x9E3779B97F4A7C15;
-  X = (X ^ (X >> 30)) * 0xBF58476D1CE4E5B9;
-  X = (X ^ (X >> 27)) * 0x94D049BB133111EB;
-  return X ^ (X >> 31);
-}
+uint64_t mixBits(uint64_t X) { return splitMixFinalizer(X + 0x9E3779B97F4A7C15); }
 
 double unitInterval(uint64_t Hash) {
   constexpr double Steps = 9007199254740992.0; // 2^53
--- a/src/placement/rendezvous.h
+++ b/src/placement/rendezvous.h
@@ -8,7 +8,7 @@
 
 namespace toucan::placement {
 
-// Spreads similar inputs over all bits (finalizer of SplitMix64).
+// Spreads similar inputs over all bits (one step of SplitMix64).
 uint64_t mixBits(uint64_t X);
 
 // Maps a hash to the open interval (0, 1).
--- a/src/ratelimit/lease.cpp
+++ b/src/ratelimit/lease.cpp
@@ -1,5 +1,7 @@
 #include "ratelimit/ratelimit.h"
 
+#include "base/hash.h"
+
 #include "absl/strings/numbers.h"
 #include "absl/strings/str_cat.h"
 #include "absl/strings/str_split.h"
@@ -18,13 +20,10 @@
 // The order is that of RowState.
 const std::array<std::string, 3> StateNames{"claimed", "held", "released"};
 
-// FNV-1a with a final mix. Equal in every build, because all instances must get the same order.
+// Equal in every version, because all instances must get the same order. The final mix is the first
+// half of that of MurmurHash3.
 uint64_t claimWeight(const InstanceId &Instance, uint32_t Partition) {
-  uint64_t Hash = 14695981039346656037ULL;
-  for (char C : absl::StrCat(Partition, "/", Instance.Value)) {
-    Hash ^= static_cast<unsigned char>(C);
-    Hash *= 1099511628211ULL;
-  }
+  uint64_t Hash = fnv1a(absl::StrCat(Partition, "/", Instance.Value));
   Hash ^= Hash >> 33;
   Hash *= 0xff51afd7ed558ccdULL;
   return Hash ^ (Hash >> 33);
