Account weight: the queue for connections uses the priority

Each account had weight 1 in the queue, and the expected wait assumed equal weights. The session now passes the priority of its account from the present configuration with each connection request; the router derives the weight. waitingAhead() counts the statements of other accounts in the ratio of the weights. Statements of one account keep their order when its priority changes: before, later ones of a greater weight overtook the earlier ones.

The review of the queue found that the turns at the primary were lost when an account reads at replicas: both shared one virtual time, which the reads moved past that of all accounts at the primary.

With one account the order is that of objective, priority, kind and arrival, now also checked across statements that need the primary and others.

--- a/src/gateway/router.cpp
+++ b/src/gateway/router.cpp
@@ -353,7 +353,8 @@
 }
 
 // Returns the load that a statement arriving now would wait behind.
-placement::QueueLoad ServiceRouter::loadFor(bool NeedsPrimary, const AccountName &Account) {
+placement::QueueLoad ServiceRouter::loadFor(bool NeedsPrimary,
+                                            const placement::WaitingStatement &W) {
   Instant Now = this->InLoop.now();
   TargetPool *Primary = this->primary();
   placement::QueueLoad Load;
@@ -375,13 +376,18 @@
     Load.SingleHoldTime /= Load.Connections;
     Load.TransactionHoldTime /= Load.Connections;
   }
-  std::map<AccountName, size_t> Singles;
-  std::map<AccountName, size_t> Transactions;
-  for (const auto &[Id, H] : this->Waiting)
-    if (!NeedsPrimary || H.Request.Wait.NeedsPrimary)
-      ++(H.Request.Wait.Transaction ? Transactions : Singles)[H.Request.Account];
-  Load.WaitingSingles = placement::waitingAhead(Singles, Account);
-  Load.WaitingTransactions = placement::waitingAhead(Transactions, Account);
+  std::map<AccountName, placement::AccountQueue> Singles;
+  std::map<AccountName, placement::AccountQueue> Transactions;
+  for (const auto &[Id, H] : this->Waiting) {
+    const placement::WaitingStatement &Other = H.Request.Wait;
+    if (NeedsPrimary && !Other.NeedsPrimary)
+      continue;
+    placement::AccountQueue &Q = (Other.Transaction ? Transactions : Singles)[Other.Account];
+    ++Q.Count;
+    Q.Weight = Other.Weight;
+  }
+  Load.WaitingSingles = placement::waitingAhead(Singles, W.Account, W.Weight);
+  Load.WaitingTransactions = placement::waitingAhead(Transactions, W.Account, W.Weight);
   Load.PrimaryExpectedAt = Primary ? absl::InfinitePast() : this->PrimaryExpected;
   return Load;
 }
@@ -390,6 +396,7 @@
   Instant Now = this->InLoop.now();
   W.Wait.Id = WaitingId(this->NextId++);
   W.Wait.Account = W.Account;
+  W.Wait.Weight = placement::shareWeight(W.AccountPriority);
   WaitingId Id = W.Wait.Id;
   W.Wait.NeedsPrimary = !W.MaxAge.has_value();
   if (W.MaxAge) {
@@ -405,7 +412,7 @@
     W.OnReject(Rejection::NoWitness);
     return Id;
   }
-  placement::QueueLoad Load = this->loadFor(OnlyPrimary, W.Account);
+  placement::QueueLoad Load = this->loadFor(OnlyPrimary, W.Wait);
   if (std::optional<Instant> Expected = this->connectionExpected(W, OnlyPrimary)) {
     if (*Expected > W.Wait.StartBefore) {
       W.OnReject(Rejection::NoConnection);
--- a/src/gateway/router.h
+++ b/src/gateway/router.h
@@ -54,7 +54,8 @@
 // Requirements of a statement or transaction that waits for a connection.
 struct ConnectionRequest {
   AccountName Account = defaultAccount();
-  placement::WaitingStatement Wait;     // the router sets Id
+  int AccountPriority = 0;              // as configured; decides the weight of the account
+  placement::WaitingStatement Wait;     // the router sets Id, Account and Weight
   std::optional<absl::Duration> MaxAge; // for reads of bounded age; if empty, the primary is needed
   LogPosition SessionFloor;             // oldest position that a read may see
   bool NeedsLeadProof = false;          // if the primary serves it, it must not have been replaced
@@ -185,7 +186,7 @@
   DispatchRound beginRound() const;
   // True if the connections of a target are scarce, or used by several accounts.
   bool opensOnDemand() const;
-  placement::QueueLoad loadFor(bool NeedsPrimary, const AccountName &Account);
+  placement::QueueLoad loadFor(bool NeedsPrimary, const placement::WaitingStatement &W);
   bool tryGrant(QueuedRequest &H, DispatchRound &Round);
   bool grantAt(QueuedRequest &H, TargetPool &Pool, std::optional<LogPosition> Floor,
                DispatchRound &Round);
--- a/src/gateway/session.cpp
+++ b/src/gateway/session.cpp
@@ -407,6 +407,8 @@
   bool ReadsOnly = this->Tx.State == TxState::None ? O.Kind == OpKind::Read : this->Tx.ReadOnly;
   ConnectionRequest W;
   W.Account = O.Account;
+  if (const accounts::Account *A = this->Deps.Host.configuration()->Accounts.byName(O.Account))
+    W.AccountPriority = A->Priority;
   W.Wait.Priority = O.Route.Priority;
   W.Wait.Transaction = this->Tx.State != TxState::None;
   W.Wait.Arrived = O.Arrived;
--- a/src/placement/fair.cpp
+++ b/src/placement/fair.cpp
@@ -29,20 +29,22 @@
                    [this](const auto &Entry) { return Entry.second <= this->Present; });
 }
 
-double FairShare::dueAt(const AccountName &Account, size_t N, double CostMs, double Weight) const {
+double FairShare::dueIn(const AccountName &Account) const {
   auto It = this->VirtualTimes.find(Account);
-  double Start =
-      It == this->VirtualTimes.end() ? this->Present : std::max(It->second, this->Present);
-  return Start + static_cast<double>(N) * CostMs / Weight;
+  return It == this->VirtualTimes.end() ? 0 : std::max(0.0, It->second - this->Present);
 }
 
-size_t waitingAhead(const std::map<AccountName, size_t> &Waiting, const AccountName &Account) {
+size_t waitingAhead(const std::map<AccountName, AccountQueue> &Waiting, const AccountName &Account,
+                    double Weight) {
   auto Own = Waiting.find(Account);
-  size_t OwnCount = Own == Waiting.end() ? 0 : Own->second;
+  size_t OwnCount = Own == Waiting.end() ? 0 : Own->second.Count;
   size_t Ahead = OwnCount;
-  for (const auto &[Other, Count] : Waiting)
-    if (Other != Account)
-      Ahead += std::min(Count, OwnCount + 1);
+  for (const auto &[Other, Queue] : Waiting) {
+    if (Other == Account)
+      continue;
+    double Share = static_cast<double>(OwnCount) * Queue.Weight / Weight;
+    Ahead += std::min(Queue.Count, static_cast<size_t>(Share) + 1);
+  }
   return Ahead;
 }
 
--- a/src/placement/fair.h
+++ b/src/placement/fair.h
@@ -22,9 +22,9 @@
   // A statement of the account got a connection. Cost is the time for which it is expected to hold
   // it, in milliseconds.
   void onGranted(const AccountName &Account, double CostMs, double Weight);
-  // Virtual time at which the account's Nth waiting statement (0: the first one) is due, if each
-  // costs CostMs.
-  double dueAt(const AccountName &Account, size_t N, double CostMs, double Weight) const;
+  // Virtual time from the present one until the account's first waiting statement is due; 0 if its
+  // turn is now.
+  double dueIn(const AccountName &Account) const;
 
 private:
   absl::flat_hash_map<AccountName, double> VirtualTimes;
@@ -35,9 +35,16 @@
 // halves the share.
 double shareWeight(int Priority);
 
-// Number of waiting statements that are served before a new one of the account: its own, and as
-// many of each other account. Waiting: number of waiting statements by account.
-size_t waitingAhead(const std::map<AccountName, size_t> &Waiting, const AccountName &Account);
+// The waiting statements of one account.
+struct AccountQueue {
+  size_t Count = 0;
+  double Weight = 1;
+};
+
+// Number of waiting statements that are served before a new one of the account: its own, and of
+// each other account as many in the ratio of the weights. Weight: of the account.
+size_t waitingAhead(const std::map<AccountName, AccountQueue> &Waiting, const AccountName &Account,
+                    double Weight);
 
 } // namespace toucan::placement
 
--- a/src/placement/queue.cpp
+++ b/src/placement/queue.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <tuple>
+#include <utility>
 
 namespace toucan::placement {
 
@@ -27,8 +28,8 @@
 }
 
 void WaitQueue::grant(const WaitingStatement &W, absl::Duration Hold) {
-  this->Shares.onGranted(W.Account, std::max(MinHoldMs, absl::ToDoubleMilliseconds(Hold)),
-                         W.Weight);
+  this->shares(W).onGranted(W.Account, std::max(MinHoldMs, absl::ToDoubleMilliseconds(Hold)),
+                            W.Weight);
 }
 
 void WaitQueue::visit(Instant Now, const std::function<bool(const WaitingStatement &)> &Visit) {
@@ -39,29 +40,47 @@
                      return std::tuple(Now >= A.ObjectiveAt, A.Priority, A.Transaction) <
                             std::tuple(Now >= B.ObjectiveAt, B.Priority, B.Transaction);
                    });
-  // Within an account the due times follow the order above, which is therefore the result where
-  // there is one account only.
+  std::vector<const WaitingStatement *> Ordered = this->byShare(Order, Now);
+  for (const WaitingStatement *W : Ordered)
+    if (!Visit(*W))
+      return;
+}
+
+// Sorts statements, which are ordered by all other rules, by the turns of their accounts too.
+std::vector<const WaitingStatement *> WaitQueue::byShare(const std::vector<WaitingStatement> &Order,
+                                                         Instant Now) {
+  std::vector<const WaitingStatement *> Out;
+  Out.reserve(Order.size());
+  for (const WaitingStatement &W : Order)
+    Out.push_back(&W);
+  // Statements of one account keep the order, whether they need the primary or not.
+  if (std::all_of(Order.begin(), Order.end(),
+                  [&](const WaitingStatement &W) { return W.Account == Order.front().Account; }))
+    return Out;
   struct Due {
     bool Late;
     int Priority;
-    double At;
+    double In;
     const WaitingStatement *W;
   };
   std::vector<Due> ByShare;
   ByShare.reserve(Order.size());
-  absl::flat_hash_map<AccountName, size_t> Seen;
-  for (const WaitingStatement &W : Order)
-    ByShare.push_back(
-        {.Late = Now >= W.ObjectiveAt,
-         .Priority = W.Priority,
-         .At = this->Shares.dueAt(W.Account, Seen[W.Account]++, TypicalHoldMs, W.Weight),
-         .W = &W});
+  // Virtual time of the statements of the same account and kind that are served before.
+  absl::flat_hash_map<std::pair<AccountName, bool>, double> Ahead;
+  for (const WaitingStatement &W : Order) {
+    double &Before = Ahead[{W.Account, W.NeedsPrimary}];
+    ByShare.push_back({.Late = Now >= W.ObjectiveAt,
+                       .Priority = W.Priority,
+                       .In = this->shares(W).dueIn(W.Account) + Before,
+                       .W = &W});
+    Before += TypicalHoldMs / W.Weight;
+  }
   std::stable_sort(ByShare.begin(), ByShare.end(), [](const Due &A, const Due &B) {
-    return std::tuple(A.Late, A.Priority, A.At) < std::tuple(B.Late, B.Priority, B.At);
+    return std::tuple(A.Late, A.Priority, A.In) < std::tuple(B.Late, B.Priority, B.In);
   });
-  for (const Due &D : ByShare)
-    if (!Visit(*D.W))
-      return;
+  for (size_t I = 0; I < Out.size(); ++I)
+    Out[I] = ByShare[I].W;
+  return Out;
 }
 
 std::vector<WaitingStatement> WaitQueue::takeExpired(Instant Now) {
--- a/src/placement/queue.h
+++ b/src/placement/queue.h
@@ -46,8 +46,18 @@
   size_t size() const { return this->All.size(); }
 
 private:
+  std::vector<const WaitingStatement *> byShare(const std::vector<WaitingStatement> &Order,
+                                                Instant Now);
+  FairShare &shares(const WaitingStatement &W) {
+    return W.NeedsPrimary ? this->PrimaryShares : this->ReadShares;
+  }
+
   std::vector<WaitingStatement> All; // ordered by Arrived
-  FairShare Shares;
+  // Apart, because the virtual time of reads that replicas serve would otherwise pass that of all
+  // statements which wait for the primary. Load pattern: an account that reads much at replicas,
+  // and another one that floods the primary, where the turns of all accounts were lost.
+  FairShare PrimaryShares;
+  FairShare ReadShares;
 };
 
 // Load of the targets that may serve a statement, as of its arrival.
