Control connections wait after a refusal for too many connections

A sampler asked by another instance opened a control connection every 200 ms at a target that had just refused one, and so did every sample where several accounts use a target: commandLink() ignored the pause, and mayOpenControl() looked at it only where connections are scarce.

Both now observe the pause.

--- a/src/gateway/pool.cpp
+++ b/src/gateway/pool.cpp
@@ -168,8 +168,9 @@
 }
 
 TargetLink *TargetPool::commandLink() {
-  TargetLink *Link = this->takeAnyIdle();
-  return Link ? Link : this->controlLink();
+  if (TargetLink *Link = this->takeAnyIdle())
+    return Link;
+  return this->mayOpenControl() ? this->controlLink() : nullptr;
 }
 
 uint32_t TargetPool::openingLinks() const {
@@ -264,7 +265,8 @@
 }
 
 bool TargetPool::mayOpenControl() const {
-  return this->Control || !this->Limit.scarce() || this->InLoop.now() >= this->RetryAt;
+  bool Exhaustible = this->Limit.scarce() || this->severalAccounts();
+  return this->Control || !Exhaustible || this->InLoop.now() >= this->RetryAt;
 }
 
 TargetLink *TargetPool::takeForSample() {
--- a/src/gateway/pool.h
+++ b/src/gateway/pool.h
@@ -53,7 +53,8 @@
                        const absl::flat_hash_map<std::string, std::string> &Values);
   // Returns an idle link of any account, for the proxy's own commands; null if none is idle.
   TargetLink *takeAnyIdle();
-  // As takeAnyIdle(), or the control link, which may still be opening; null if it cannot be opened.
+  // As takeAnyIdle(), or the control link, which may still be opening; null if it cannot be opened,
+  // also because the target refuses connections.
   TargetLink *commandLink();
   uint32_t idleLinks() const;
   uint32_t idleLinks(const AccountName &Account) const;
@@ -145,7 +146,7 @@
                      AnswerHandler OnAnswer);
   // Cause: for the metrics; why the link is opened.
   void openLink(const AccountName &Account, std::string_view Cause);
-  // False while the target refuses connections and they are scarce.
+  // False while the target refuses connections, if they are scarce or several accounts use it.
   bool mayOpenControl() const;
   uint32_t idleInTransaction() const;
   uint32_t openingLinks() const;
