Samples on a connection do not count as use by its account

A sample of the primary's position is taken on any idle connection and reset its idle time. The connection of an account that sends nothing any more, also of one that was removed, was then never idle for 30 s, and it was preferred to connections in use when one had to be replaced.

TargetLink::ServedAt is the time when a statement last released the link; it decides both. In the test the connection that no statement had used for 2.3 s was kept, and one used 0.6 s before was closed; now the first one is closed.

--- a/src/gateway/link.h
+++ b/src/gateway/link.h
@@ -92,6 +92,9 @@
   // Called once if the link is lost while it is pinned.
   std::function<void()> OnLostWhilePinned;
   Instant IdleSince;
+  // When a statement or transaction last released the link; at first when it was opened. Unlike
+  // IdleSince, not changed by the proxy's own commands.
+  Instant ServedAt = absl::InfiniteFuture();
   Instant HeldSince = absl::InfiniteFuture(); // when a statement or transaction acquired the link
   bool HeldByTransaction = false;
   Instant RequestedAt; // when the link was created
--- a/src/gateway/pool.cpp
+++ b/src/gateway/pool.cpp
@@ -119,7 +119,7 @@
   for (const auto &L : this->Links) {
     if (!L->idle())
       continue;
-    Idle.push_back({.Account = L->account(), .IdleSince = L->IdleSince});
+    Idle.push_back({.Account = L->account(), .IdleSince = L->ServedAt});
     IdleLinks.push_back(L.get());
   }
   std::optional<size_t> Chosen =
@@ -380,7 +380,7 @@
   bool Spare = this->Retiring ||
                (Open > KeptOpen && IdleFor >= this->Limit.spareIdleLimit(Now) && LeastUsed);
   bool Surplus = IdleOfAccount > 1 && IdleFor >= placement::SurplusIdleLimit;
-  bool Unused = IdleFor >= placement::AccountIdleLimit &&
+  bool Unused = Now - Link.ServedAt >= placement::AccountIdleLimit &&
                 (this->severalAccounts() || Link.account() != defaultAccount());
   return Spare || Surplus || Unused;
 }
@@ -437,6 +437,7 @@
 void TargetPool::onLinkOpen(TargetLink &Link) {
   this->Backoff = BackoffMin;
   this->ScarceBackoff.onOpened();
+  Link.ServedAt = this->InLoop.now();
   this->Connecting.onOpened(this->InLoop.now() - Link.RequestedAt, this->InLoop.now());
   if (&Link != this->Control.get())
     this->Owner.onPoolReady(*this);
@@ -490,8 +491,10 @@
     return;
   }
   Instant Taken = std::exchange(Link.HeldSince, absl::InfiniteFuture());
-  if (Taken != absl::InfiniteFuture())
-    this->Statistics.onConnectionHeld(this->InLoop.now() - Taken, Link.HeldByTransaction);
+  if (Taken != absl::InfiniteFuture()) {
+    Link.ServedAt = this->InLoop.now();
+    this->Statistics.onConnectionHeld(Link.ServedAt - Taken, Link.HeldByTransaction);
+  }
   if (this->Retiring) {
     Link.close("target removed");
     return;
