Time bounds of callers are settings of the hosted path

The case of the half-closed transaction in tests/hostile passed if its read failed; it now requires the answer.

--- a/tests/hostile/hostile_test.cpp
+++ b/tests/hostile/hostile_test.cpp
@@ -75,7 +75,8 @@
 // The stand-in platform and one daemon.
 class System {
 public:
-  System() {
+  // CallerTimeMs: time bounds of callers; 0: the defaults.
+  explicit System(uint32_t CallerTimeMs = 0) {
     this->Platform = std::make_unique<Process>("standin-hosted", std::vector<std::string>{"1"},
                                                this->Dir.file("platform"));
     uint16_t Port = this->Platform->port("http");
@@ -87,7 +88,8 @@
                                           .PlatformPort = Port,
                                           .CloudApiPort = Port,
                                           .MaxDescriptors = MaxDescriptors,
-                                          .MemoryMb = MemoryMb});
+                                          .MemoryMb = MemoryMb,
+                                          .CallerTimeMs = CallerTimeMs});
     ::setenv("TOUCANRUN_CONFIG", this->Dir.file("daemon.yaml").c_str(), 1);
     ::setenv("TOUCANRUN_METRICS_PORT", std::to_string(this->Metrics.number()).c_str(), 1);
     this->Daemon = std::make_unique<Process>("toucanrund-hosted", std::vector<std::string>{},
@@ -178,19 +180,21 @@
     this->Target.observe();
   }
 
-  // Goes on until Condition holds for every member; false if it does not within WaitLimit.
-  bool waitFor(const std::function<bool(size_t)> &Condition) {
-    return eventually([&] {
-      for (Member &M : this->Members)
-        this->step(M);
-      for (size_t I = 0; I < this->Members.size(); ++I)
-        if (!Condition(I))
-          return false;
-      return true;
-    });
+  // Goes on until Condition holds for every member; false if it does not within Limit.
+  bool waitFor(const std::function<bool(size_t)> &Condition, milliseconds Limit = WaitLimit) {
+    return eventually(
+        [&] {
+          for (Member &M : this->Members)
+            this->step(M);
+          for (size_t I = 0; I < this->Members.size(); ++I)
+            if (!Condition(I))
+              return false;
+          return true;
+        },
+        Limit);
   }
-  bool waitForEnd() {
-    return this->waitFor([this](size_t I) { return this->Members[I].Ended; });
+  bool waitForEnd(milliseconds Limit = WaitLimit) {
+    return this->waitFor([this](size_t I) { return this->Members[I].Ended; }, Limit);
   }
 
   size_t size() const { return this->Members.size(); }
@@ -418,9 +422,12 @@
   CHECK(C.waitForEnd());
   LineClient Reader;
   REQUIRE(eventually([&] { return Reader.open(S.port(), "own0"); }));
-  LineAnswer A = Reader.query("after", "READ half");
-  if (A.Complete && A.Done)
-    CHECK(A.Rows.at(0).rfind("- ", 0) == 0);
+  LineAnswer A;
+  REQUIRE(eventually([&] {
+    A = Reader.query("after", "READ half");
+    return A.Complete && A.Done;
+  }));
+  CHECK(A.Rows.at(0).rfind("- ", 0) == 0);
   S.check();
 }
 
@@ -436,3 +443,17 @@
   }
   S.check();
 }
+
+// Guards against time bounds in the settings that are not in force. The limit of the check is below
+// the defaults of 15 s and 30 s.
+TEST_CASE("hostile: the time bounds of the settings close callers that stop half-way") {
+  constexpr milliseconds BelowDefaults{10000};
+  System S(1000);
+  CallerCrowd InStart(S, 20, {.Text = "STAR"});
+  InStart.run();
+  CHECK(InStart.waitForEnd(BelowDefaults));
+  CallerCrowd InMessage(S, 20, {.Text = Start + "QUERY q READ"});
+  InMessage.run();
+  CHECK(InMessage.waitForEnd(BelowDefaults));
+  S.check();
+}
