Replaced session values release their memory; long log lines keep their end

Cause: an assignment of a short text keeps the memory of the longer one before it. The budget counts the present size, so that a caller that sets large values and then replaces them by short ones could make the process grow without limit; the same holds for the copies on links to targets. A log line above 4,096 bytes was cut without its line end, and the next line was appended to it. Change: the former text is exchanged and released; a cut line ends with a line end.

--- a/src/base/log.cpp
+++ b/src/base/log.cpp
@@ -57,7 +57,10 @@
     if (this->Dropped > 0)
       Line = absl::StrFormat("event=log_lines_dropped count=%d\n%s", this->Dropped, Line);
     // A pipe takes a line of this size whole or not at all.
-    Line.resize(std::min<size_t>(Line.size(), PIPE_BUF));
+    if (Line.size() > PIPE_BUF) {
+      Line.resize(PIPE_BUF - 1);
+      Line += '\n';
+    }
     if (write(STDOUT_FILENO, Line.data(), Line.size()) < 0)
       ++this->Dropped;
     else
--- a/src/gateway/session.cpp
+++ b/src/gateway/session.cpp
@@ -316,10 +316,14 @@
     return;
   }
   this->StateBytes = Size;
-  if (IsValue)
-    this->Values[Stmt.Name] = Stmt.Value;
-  else
-    this->Prepared[Stmt.Name] = {.Writes = Stmt.PreparedWrites, .Shape = Stmt.Value};
+  // An assignment would keep the memory of a longer former text, which is not counted any more.
+  if (IsValue) {
+    std::string(Stmt.Value).swap(this->Values[Stmt.Name]);
+  } else {
+    PreparedStatement &P = this->Prepared[Stmt.Name];
+    P.Writes = Stmt.PreparedWrites;
+    std::string(Stmt.Value).swap(P.Shape);
+  }
   this->replySuccess();
 }
 
@@ -476,7 +480,7 @@
     auto [It, New] = Link.Values.try_emplace(Name, Value);
     if (!New && It->second == Value)
       continue;
-    It->second = Value;
+    std::string(Value).swap(It->second); // see storeState
     Out.push_back({.Request = {.Command = TargetCommand::Set, .Name = Name, .Value = Value},
                    .OnAnswer = Check});
   }
--- a/tests/hostile/hostile_test.cpp
+++ b/tests/hostile/hostile_test.cpp
@@ -112,6 +112,15 @@
     return A.Complete && A.Done;
   }
 
+  // Length of the longest line that the daemon has logged. A pipe takes 4,096 bytes at once.
+  size_t longestLogLine() const {
+    std::ifstream In(this->Dir.file("daemon.out"));
+    size_t Longest = 0;
+    for (std::string Line; std::getline(In, Line);)
+      Longest = std::max(Longest, Line.size());
+    return Longest;
+  }
+
   // The checks of each case. The crowd is still connected unless it has ended by itself.
   void check() {
     this->observe();
@@ -359,6 +368,37 @@
   runCrowd(60, {.Text = Text});
 }
 
+// Guards against memory that a replaced value keeps although the session no longer holds it: the
+// budget counts a session's values by their present size.
+TEST_CASE("hostile: large session values that are replaced by small ones") {
+  std::string Text = Start;
+  for (int I = 0; I < 40; ++I)
+    Text += absl::StrCat("QUERY q SET v", I, " ", std::string(1000000, 'x'), "\r\nQUERY q SET v", I,
+                         " x\r\nQUERY q PREPARE p", I, " READ ", std::string(1000000, 'x'),
+                         "\r\nQUERY q PREPARE p", I, " READ x\r\n");
+  runCrowd(3, {.Text = Text});
+}
+
+// As before, for the copies of the values on the connections to targets.
+TEST_CASE("hostile: large session values that are used and then replaced by small ones") {
+  std::string Text = Start;
+  for (int I = 0; I < 80; ++I)
+    Text += absl::StrCat("QUERY q SET v", I, " ", std::string(1000000, 'x'),
+                         "\r\nQUERY q READ k\r\nQUERY q SET v", I, " x\r\n");
+  runCrowd(1, {.Text = Text + "QUERY q READ k\r\n"});
+}
+
+// Guards against log lines that grow with what a caller sends, and against one that lacks its end:
+// it would hide the line behind it.
+TEST_CASE("hostile: database names of the largest size") {
+  System S;
+  CallerCrowd C(S, 40, {.Text = "START " + std::string(MessageLimit - 64, 'n') + " u\r\n"});
+  C.run();
+  CHECK(C.waitForEnd());
+  S.check();
+  CHECK(S.longestLogLine() < 4096);
+}
+
 // Guards against sessions that never begin and take all places of the daemon.
 TEST_CASE("hostile: callers that stop half-way in START") {
   runCrowd(LargeCrowd, {.Text = "STAR"});
