Ids of statements and names of databases count for the budget of callers

Cause: found by review. A statement id may have nearly 1 MiB and is kept, with a copy for the link, while its statement waits; a database name as long is kept while a session waits for the first configuration. Neither was counted. Change: statementBytes() and stateBytes() contain them.

--- a/src/gateway/session.cpp
+++ b/src/gateway/session.cpp
@@ -73,8 +73,8 @@
   if (!this->Op)
     return 0;
   const Statement &S = this->Op->Stmt;
-  // The text is copied once for the link to the target.
-  return 2 * S.Text.capacity() + S.Value.capacity() + S.Name.capacity();
+  // The text and the id are copied once for the link to the target.
+  return 2 * (S.Text.capacity() + this->Op->Id.capacity()) + S.Value.capacity() + S.Name.capacity();
 }
 
 void Session::updateAccount() {
--- a/src/gateway/session.h
+++ b/src/gateway/session.h
@@ -59,7 +59,7 @@
   // Bytes allocated for the input, the current statement, and the values and prepared statements.
   size_t inputBytes() const { return this->Input.capacity(); }
   size_t statementBytes() const;
-  size_t stateBytes() const { return this->StateBytes; }
+  size_t stateBytes() const { return this->StateBytes + this->Database.capacity(); }
   // A configuration was applied. Determines the account and withdraws a statement from the queue
   // that must not run under it. Called for all sessions before anything else reacts to the
   // configuration, because the end of one session can start the statement of another.
