Callers are not paused or closed for a buffer that is not read

Cause: found by review. The allowance for an unread receive buffer counted like memory that the caller uses. About 320 light callers that were paused once kept the sum above 3/4 of the budget of the smallest machine and each other above the share, so that none was read again. Sessions with many values stayed paused in the same way. Above the budget, a caller that held nothing was closed as the heaviest, while 2,000 idle ones with 15 KB each stayed. Change: only input, statement and answers pause a caller; the allowance counts above 64 KB; callers below 16 KB are closed too if they hold more than the mean. The metric caller_bytes_kernel is as before.

--- a/src/gateway/caller_budget.cpp
+++ b/src/gateway/caller_budget.cpp
@@ -15,7 +15,8 @@
 constexpr size_t IdleCallerBytes = 4096;
 // A caller with less than this is not paused for the others' use of memory.
 constexpr size_t MinEqualShare = 64 * 1024;
-// A caller with less than this is not closed either: closing it would free little.
+// A caller with less than this is not closed either, unless many of them together hold too much:
+// closing it would free little.
 constexpr size_t LightCallerBytes = 16 * 1024;
 constexpr uint64_t MinReservedDescriptors = 32;
 
@@ -25,6 +26,7 @@
   Sum.State += B.State;
   Sum.Unsent += B.Unsent;
   Sum.Kernel += B.Kernel;
+  Sum.Unread += B.Unread;
 }
 
 void subtractFrom(CallerBytes &Sum, const CallerBytes &B) {
@@ -33,6 +35,7 @@
   Sum.State -= B.State;
   Sum.Unsent -= B.Unsent;
   Sum.Kernel -= B.Kernel;
+  Sum.Unread -= B.Unread;
 }
 
 } // namespace
@@ -49,7 +52,12 @@
   return Descriptors > Reserved ? static_cast<size_t>(Descriptors - Reserved) : 1;
 }
 
-void CallerBudget::update(SessionId Id, const CallerBytes &Now) {
+void CallerBudget::update(SessionId Id, const CallerBytes &Reported) {
+  CallerBytes Now = Reported;
+  // A caller below the least share is not read only until the heaviest are closed, in the same
+  // iteration of the loop. The allowance must not make it one of them.
+  if (Now.work() <= MinEqualShare)
+    Now.Unread = 0;
   auto [It, New] = this->Callers.try_emplace(Id);
   if (!New && It->second == Now)
     return;
@@ -81,7 +89,7 @@
 
 bool CallerBudget::overShare(SessionId Id) const {
   auto It = this->Callers.find(Id);
-  return It != this->Callers.end() && this->pressed() && It->second.total() > this->equalShare();
+  return It != this->Callers.end() && this->pressed() && It->second.work() > this->equalShare();
 }
 
 bool CallerBudget::mayRead(SessionId Id) const {
@@ -108,7 +116,10 @@
   if (this->totalBytes() <= this->Limits.TotalBytes || this->ByBytes.empty())
     return std::nullopt;
   auto [Bytes, Id] = *this->ByBytes.rbegin();
-  return Bytes > LightCallerBytes ? std::optional(Id) : std::nullopt;
+  // Above the total, at least one caller holds more than the mean.
+  size_t Mean = this->Limits.TotalBytes / this->Callers.size();
+  size_t Light = std::min(LightCallerBytes, Mean - std::min(Mean, IdleCallerBytes));
+  return Bytes > Light ? std::optional(Id) : std::nullopt;
 }
 
 std::string_view CallerDeadlines::check(Instant Now, const CallerProgress &P,
--- a/src/gateway/caller_budget.h
+++ b/src/gateway/caller_budget.h
@@ -44,11 +44,12 @@
   size_t Statement = 0; // the current statement and its copy for the target
   size_t State = 0;     // session values and prepared statements
   size_t Unsent = 0;    // answers that the kernel has not taken
-  size_t Kernel = 0;    // allowance for kernel buffers that are full
+  size_t Kernel = 0;    // allowance for a full send buffer
+  size_t Unread = 0;    // allowance for a full receive buffer; the caller is not read
   bool operator==(const CallerBytes &) const = default;
-  size_t total() const {
-    return this->Input + this->Statement + this->State + this->Unsent + this->Kernel;
-  }
+  // What reading and processing less of the caller limits.
+  size_t work() const { return this->Input + this->Statement + this->Unsent + this->Kernel; }
+  size_t total() const { return this->work() + this->State + this->Unread; }
 };
 
 class CallerBudget {
@@ -56,7 +57,7 @@
   explicit CallerBudget(CallerLimits Limits) : Limits(Limits) {}
 
   // Reports the current sizes of a caller. The first report adds the caller.
-  void update(SessionId Id, const CallerBytes &Now);
+  void update(SessionId Id, const CallerBytes &Reported);
   void remove(SessionId Id);
 
   // Whether bytes may be read from the caller's socket.
@@ -67,7 +68,7 @@
   bool mayAccept() const { return this->totalBytes() <= this->Limits.TotalBytes; }
   // The caller to close now, if any. To be asked again after it was removed.
   std::optional<SessionId> toClose() const;
-  // Above this, callers that hold more than an equal share are paused.
+  // Above this, callers whose work holds more than an equal share are paused.
   bool pressed() const { return this->totalBytes() > this->pressedBytes(); }
 
   const CallerLimits &limits() const { return this->Limits; }
--- a/src/gateway/caller_budget_test.cpp
+++ b/src/gateway/caller_budget_test.cpp
@@ -180,6 +180,50 @@
   CHECK(B.mayRead(SessionId(1)));
 }
 
+// Guards against callers that stay paused for ever: the allowance for the buffer that is not read
+// kept each caller above its share, and all of them together kept the pressure up.
+TEST_CASE("callers that hold nothing are read although all of them were paused") {
+  CallerBudget B(callerLimits(SmallMachine));
+  constexpr uint64_t Count = 400;
+  for (uint64_t I = 1; I <= Count; ++I)
+    B.update(SessionId(I), {.Input = 15, .Unread = FullKernelBufferBytes});
+  for (uint64_t I = 1; I <= Count; ++I)
+    CHECK(B.mayRead(SessionId(I)));
+  CHECK_FALSE(B.toClose().has_value());
+}
+
+// As before, with sessions whose values are above the share. Not reading them frees nothing.
+TEST_CASE("sessions with many values are read under pressure") {
+  CallerBudget B(callerLimits(SmallMachine));
+  constexpr uint64_t Count = 200;
+  for (uint64_t I = 1; I <= Count; ++I)
+    B.update(SessionId(I),
+             {.Input = 100, .State = size_t{120} * 1024, .Unread = FullKernelBufferBytes});
+  CHECK(B.pressed());
+  for (uint64_t I = 1; I <= Count; ++I)
+    CHECK(B.mayRead(SessionId(I)));
+}
+
+// Guards against callers that are closed because they were not read, while the ones that hold the
+// memory stay: each of these is light, and sends nothing more.
+TEST_CASE("many callers that each hold little are closed before those that hold nothing") {
+  CallerBudget B(callerLimits(SmallMachine));
+  constexpr uint64_t Light = 2000;
+  constexpr uint64_t Ordinary = 20;
+  for (uint64_t I = 1; I <= Light; ++I)
+    B.update(SessionId(I), {.State = size_t{15} * 1024});
+  for (uint64_t I = 1; I <= Ordinary; ++I)
+    B.update(SessionId(Light + I), {.Input = 100, .Unread = FullKernelBufferBytes});
+  CHECK_FALSE(B.mayAccept());
+  size_t ClosedOrdinary = 0;
+  while (std::optional<SessionId> Id = B.toClose()) {
+    ClosedOrdinary += Id->Value > Light ? 1 : 0;
+    B.remove(*Id);
+  }
+  CHECK(ClosedOrdinary == 0);
+  CHECK(B.mayAccept());
+}
+
 // Guards against sums that keep what was released.
 TEST_CASE("the sums follow updates and removals") {
   CallerBudget B(callerLimits(SmallMachine));
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -639,9 +639,9 @@
                 .Unsent = C.Unsent.capacity()};
   // The kernel's buffer is full if it did not take all, and may be full if it is not read.
   if (!C.Unsent.empty())
-    B.Kernel += FullKernelBufferBytes;
+    B.Kernel = FullKernelBufferBytes;
   if (!(C.WatchedEvents & EPOLLIN) && !C.HalfClosed)
-    B.Kernel += FullKernelBufferBytes;
+    B.Unread = FullKernelBufferBytes;
   this->Budget.update(Id, B);
   if (!this->ClosesHeaviest && this->Budget.toClose()) {
     // Sessions may be on the stack, so they are removed in a later task of the loop.
@@ -725,7 +725,7 @@
   this->Counters.set("caller_bytes_statements", static_cast<int64_t>(All.Statement));
   this->Counters.set("caller_bytes_state", static_cast<int64_t>(All.State));
   this->Counters.set("caller_bytes_unsent", static_cast<int64_t>(All.Unsent));
-  this->Counters.set("caller_bytes_kernel", static_cast<int64_t>(All.Kernel));
+  this->Counters.set("caller_bytes_kernel", static_cast<int64_t>(All.Kernel + All.Unread));
   this->Counters.set("callers", static_cast<int64_t>(this->Callers.size()));
   this->Counters.set("callers_paused", static_cast<int64_t>(this->PausedCallers.size()));
 }
