A data centre without room no longer keeps reads from another one

Cause: traced in the replay with a slow link and a third data centre. The raise chose the data centre with the highest gain, the first among equal ones, and ended if that one had no room. The one behind the slow link was chosen in each decision, and the idle third one got nothing more. Change: data centres that can take nothing are passed over; among equal gains, the most room wins. The bound that follows from section 9, no late read here while another data centre has room, is a new case.

--- a/src/placement/spill.cpp
+++ b/src/placement/spill.cpp
@@ -109,31 +109,36 @@
     F.Rate = 0;
 }
 
-// Raises the share of the data centre with the highest gain.
+// Raises the share of the data centre with the highest gain; among equal ones, of the one that
+// takes the most. One that can take none must not be chosen: it would keep the reads from the
+// others.
 void SpillController::raise(const SpillInputs &In, const std::map<DataCentre, Estimate> &Known,
                             double LateHere, double Sent, Instant Now) {
   std::optional<DataCentre> Best;
   double BestGain = 0;
+  double BestStep = 0;
   for (const auto &[To, E] : Known) {
     const Flow &F = this->Flows[To];
     double Gain = LateHere - E.Late - E.Cost;
     bool Seen = F.Rate <= 0 || In.There.at(To).Answers >= F.AnswersAtRaise + AnswersForRaise;
-    if (!E.Usable || E.Late > 0 || !Seen || Now < F.BlockedUntil || Gain <= BestGain)
+    if (!E.Usable || E.Late > 0 || !Seen || Now < F.BlockedUntil || Gain <= 0)
+      continue;
+    double Part = E.Spare / static_cast<double>(std::max<size_t>(1, In.Senders));
+    if (F.Rate <= 0)
+      Part *= FirstPart;
+    double Step =
+        std::min({Part, LargestRaise * In.Arrivals, this->Rules.MaxShare * In.Arrivals - Sent});
+    bool Better = Gain > BestGain || (Gain == BestGain && Step > BestStep);
+    if (Step <= 0 || Step < LeastShare * In.Arrivals || !Better)
       continue;
     Best = To;
     BestGain = Gain;
+    BestStep = Step;
   }
   if (!Best)
     return;
   Flow &F = this->Flows[*Best];
-  double Part = Known.at(*Best).Spare / static_cast<double>(std::max<size_t>(1, In.Senders));
-  if (F.Rate <= 0)
-    Part *= FirstPart;
-  double Step =
-      std::min({Part, LargestRaise * In.Arrivals, this->Rules.MaxShare * In.Arrivals - Sent});
-  if (Step <= 0 || Step < LeastShare * In.Arrivals)
-    return;
-  F.Rate += Step;
+  F.Rate += BestStep;
   F.RaisedAt = Now;
   F.AnswersAtRaise = In.There.at(*Best).Answers;
 }
--- a/src/placement/spill_test.cpp
+++ b/src/placement/spill_test.cpp
@@ -47,6 +47,7 @@
   // Results.
   double Reads = 0;
   double Late = 0;
+  double LateHere = 0;   // of the reads that stayed in their data centre
   double Sent = 0;       // reads that left their data centre
   double MostRemote = 0; // largest rate of reads that arrived from others, by data centre
   double MostArrived = 0;
@@ -162,6 +163,8 @@
     this->Reads += Count;
     if (Count > 0 && TookMs > absl::ToDoubleMilliseconds(Objective)) {
       this->Late += Count;
+      if (From == To)
+        this->LateHere += Count;
       if (this->FirstLateMs < 0)
         this->FirstLateMs = Ms;
     }
@@ -241,6 +244,119 @@
   CHECK(Other.Late < Off.Late / 2);
 }
 
+// Section 9 of docs/design/hard-load.md: reads are sent away before the first one misses its
+// objective. The excess of the first data centre is 0.5 of its capacity at most, and the third one
+// takes 0.5 until it has a utilisation of 0.8, so that no read has to be late here. Those that are
+// sent over the slow link before its answers are known are not counted.
+TEST_CASE("spill: no read that stays is late while a third data centre has room") {
+  auto Slow = [](int From, int To, int) { return From == 0 && To == 1 ? 900.0 : 0.0; };
+  Replay On{.Centres = 3, .Load = waveInFirst};
+  On.run(45000);
+  Replay OnSlow{.Centres = 3, .Load = waveInFirst, .ExtraMs = Slow};
+  OnSlow.run(45000);
+  MESSAGE("late here " << On.LateHere / On.Reads << ", with a slow link "
+                       << OnSlow.LateHere / OnSlow.Reads);
+  CHECK(On.LateHere == 0);
+  CHECK(OnSlow.LateHere == 0);
+}
+
+// Guards against a data centre without room that is chosen in each decision because it is expected
+// to answer in time, and keeps the reads from another one that has room.
+TEST_CASE("spill: a data centre without room does not keep reads from another one") {
+  SpillInputs In{.Arrivals = 10,
+                 .Objective = Objective,
+                 .Wait = absl::ZeroDuration(),
+                 .Slack = Objective,
+                 .AllowedLag = absl::Seconds(1),
+                 .Here = {.Slots = 4, .Response = absl::Milliseconds(40)}};
+  SideLoad Idle{.To = Distance::SameRegion, .Slots = 4, .Response = absl::Milliseconds(22)};
+  In.There[centre(1)] = Idle;
+  In.There[centre(2)] = Idle;
+  SpillController C(settings());
+  CHECK(C.decide(In, at(0)).empty());
+  In.Here.Response = absl::Milliseconds(600);
+  // Five times its response without load, and still below a quarter of the objective.
+  In.There[centre(1)].Response = absl::Milliseconds(110);
+  C.decide(In, at(600));
+  CHECK(C.share(centre(1)) == 0);
+  CHECK(C.share(centre(2)) > 0);
+}
+
+namespace {
+
+// Inputs of an instance whose reads are late here; both other data centres are idle.
+SpillInputs lateHere() {
+  SpillInputs In{.Arrivals = 100,
+                 .BytesPerRead = 1000,
+                 .Objective = Objective,
+                 .Wait = absl::ZeroDuration(),
+                 .Slack = Objective,
+                 .AllowedLag = absl::Seconds(1),
+                 .Here = {.Slots = 4, .Response = Objective}};
+  In.There[centre(1)] = {
+      .To = Distance::OtherRegion, .Slots = 4, .Response = absl::Milliseconds(60)};
+  In.There[centre(2)] = {
+      .To = Distance::SameRegion, .Slots = 4, .Response = absl::Milliseconds(22)};
+  return In;
+}
+
+} // namespace
+
+// Guards against prices that are applied to the wrong distance.
+TEST_CASE("spill: each distance has its own price") {
+  constexpr double TooHigh = 2000; // a read of 1,000 bytes costs two answers in time
+  SpillSettings Rules = settings();
+  Rules.RegionPrice = TooHigh;
+  SpillController Near(Rules);
+  Near.decide(lateHere(), at(0));
+  CHECK(Near.share(centre(1)) == 0);
+  CHECK(Near.share(centre(2)) > 0);
+  Rules = settings();
+  Rules.CentrePrice = TooHigh;
+  SpillController Far(Rules);
+  Far.decide(lateHere(), at(0));
+  CHECK(Far.share(centre(1)) > 0);
+  CHECK(Far.share(centre(2)) == 0);
+}
+
+// Guards against shares above the configured one and against reads that return too early.
+TEST_CASE("spill: the largest share and the least stay are kept") {
+  SpillSettings Rules = settings();
+  Rules.MaxShare = 0.3;
+  SpillController C(Rules);
+  SpillInputs In = lateHere();
+  // The response without load is learned first.
+  In.Here.Response = absl::Milliseconds(20);
+  C.decide(In, at(0));
+  In.Here.Response = Objective;
+  int Ms = 500;
+  for (; Ms < 10000; Ms += 500) {
+    for (auto &[To, Side] : In.There)
+      Side.Answers += 10;
+    C.decide(In, at(Ms));
+    CHECK(C.share(centre(1)) + C.share(centre(2)) <= Rules.MaxShare + 1e-9);
+  }
+  double Most = C.share(centre(1)) + C.share(centre(2));
+  CHECK(Most > 0.2);
+  // Answers are fast here from now on. The last raise is at least MinStay ago, so reads return.
+  In.Here.Response = absl::Milliseconds(20);
+  C.decide(In, at(Ms));
+  CHECK(C.share(centre(1)) + C.share(centre(2)) < Most);
+  // A share that was raised just now stays.
+  SpillController Fresh(Rules);
+  In.Here.Response = Objective;
+  Fresh.decide(In, at(0));
+  double Raised = Fresh.share(centre(1)) + Fresh.share(centre(2));
+  CHECK(Raised > 0);
+  In.Here.Response = absl::Milliseconds(20);
+  for (int At : {500, 1000}) {
+    Fresh.decide(In, at(At));
+    CHECK(Fresh.share(centre(1)) + Fresh.share(centre(2)) == Raised);
+  }
+  Fresh.decide(In, at(1500));
+  CHECK(Fresh.share(centre(1)) + Fresh.share(centre(2)) < Raised);
+}
+
 TEST_CASE("spill: a failing or lagging data centre gets no reads") {
   Replay Failing{.Load = waveInFirst, .Failures = [](int C, int Ms) {
                    return C == 1 && Ms >= 7000 && Ms < 14000 ? 0.5 : 0.0;
