Time in which the process did not run is not counted against callers

Cause: found by review. After a suspension of the process, its first tick closed callers in the middle of a START, a message or an answer, although they could not have made progress. Change: the deadlines of all callers are moved by the time between two ticks if that is a stall. Measured: a new case of tests/hostile, which stops the daemon for 7 s with a bound of 5 s, fails without the call in gateway.cpp: its callers are closed within 1 s.

--- a/src/gateway/caller_budget.cpp
+++ b/src/gateway/caller_budget.cpp
@@ -122,6 +122,12 @@
   return Bytes > Light ? std::optional(Id) : std::nullopt;
 }
 
+void CallerDeadlines::postpone(absl::Duration Stalled) {
+  this->Accepted += Stalled;
+  this->MessageSince += Stalled;
+  this->DrainSince += Stalled;
+}
+
 std::string_view CallerDeadlines::check(Instant Now, const CallerProgress &P,
                                         const CallerTimes &Times) {
   if (!P.Opened && Now - this->Accepted > Times.Open)
--- a/src/gateway/caller_budget.h
+++ b/src/gateway/caller_budget.h
@@ -109,6 +109,8 @@
   explicit CallerDeadlines(Instant Accepted) : Accepted(Accepted) {}
   // Cause of closing the caller; empty if it is within the bounds.
   std::string_view check(Instant Now, const CallerProgress &P, const CallerTimes &Times);
+  // The process did not run for this time, so that the caller could not make progress.
+  void postpone(absl::Duration Stalled);
 
 private:
   Instant Accepted;
--- a/src/gateway/caller_budget_test.cpp
+++ b/src/gateway/caller_budget_test.cpp
@@ -280,3 +280,25 @@
   CHECK(CauseAfter(Times.DrainWindow, {.Opened = true, .HasUnsent = true, .SentBytes = 9}) ==
         "drain_timeout");
 }
+
+// Guards against callers that are closed because the process was suspended.
+TEST_CASE("time bounds leave out the time in which the process did not run") {
+  CallerTimes Times;
+  Instant Start = absl::FromUnixSeconds(1000);
+  constexpr absl::Duration Stalled = absl::Minutes(5);
+  std::vector<std::pair<CallerProgress, absl::Duration>> Cases = {
+      {{}, Times.Open},
+      {{.Opened = true, .InMessage = true}, Times.Message},
+      {{.Opened = true, .HasUnsent = true}, Times.DrainWindow}};
+  for (const auto &[P, Limit] : Cases) {
+    CallerDeadlines D(Start);
+    CHECK(D.check(Start, P, Times).empty());
+    D.postpone(Stalled);
+    CHECK(D.check(Start + Stalled + Limit, P, Times).empty());
+    CHECK_FALSE(D.check(Start + Stalled + Limit + absl::Milliseconds(1), P, Times).empty());
+  }
+  // A caller that is idle has no bound after it either.
+  CallerDeadlines Idle(Start);
+  Idle.postpone(Stalled);
+  CHECK(Idle.check(Start + absl::Hours(1), {.Opened = true}, Times).empty());
+}
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -440,6 +440,8 @@
         .kv("stalled_ms", absl::ToInt64Milliseconds(Now - this->LastTick));
     for (auto &[Name, S] : this->Services)
       S.Changes->onStall();
+    for (auto &[Id, C] : this->Callers)
+      C->Deadlines.postpone(Now - this->LastTick);
   }
   this->LastTick = Now;
   for (const catalog::TargetChange &Change : this->Targets.expire(Now))
--- a/tests/hostile/hostile_test.cpp
+++ b/tests/hostile/hostile_test.cpp
@@ -20,6 +20,7 @@
 
 #include <algorithm>
 #include <cerrno>
+#include <csignal>
 #include <cstdlib>
 #include <filesystem>
 #include <fstream>
@@ -98,6 +99,7 @@
   }
 
   uint16_t port() const { return this->Callers.number(); }
+  void signal(int Number) const { this->Daemon->signal(Number); }
 
   // Notes the number of open descriptors, of which the kernel keeps no peak.
   void observe() {
@@ -206,6 +208,10 @@
     return this->waitFor([this](size_t I) { return this->Members[I].Ended; }, Limit);
   }
 
+  bool anyEnded() const {
+    return std::any_of(this->Members.begin(), this->Members.end(),
+                       [](const Member &M) { return M.Ended; });
+  }
   size_t size() const { return this->Members.size(); }
   const std::string &received(size_t I) const { return this->Members[I].Received; }
 
@@ -497,3 +503,17 @@
   CHECK(InMessage.waitForEnd(BelowDefaults));
   S.check();
 }
+
+// Guards against callers that are closed for a time in which the daemon was suspended. Afterwards
+// the bound is in force again.
+TEST_CASE("hostile: a suspended daemon does not close callers in the middle of a message") {
+  System S(5000);
+  CallerCrowd C(S, 10, {.Text = Start + "QUERY q READ"});
+  C.run();
+  S.signal(SIGSTOP);
+  ::poll(nullptr, 0, 7000);
+  S.signal(SIGCONT);
+  CHECK_FALSE(C.waitFor([&](size_t) { return C.anyEnded(); }, milliseconds(1000)));
+  CHECK(C.waitForEnd());
+  S.check();
+}
