Shared samples: services left out of the requests are sampled

A request names at most 512 services, the ones with the oldest samples, and is sent every 200 ms at most. With thousands of services for one sampler, the newest sample of a service got older than the age bound of its reads, and the instance did not take its own, because nothing counted as lost.

In the test with 2 instances and 8,000 services reads had no floor before; now all have one within the bound.

--- a/src/gateway/samples.cpp
+++ b/src/gateway/samples.cpp
@@ -94,6 +94,10 @@
   if (Services.size() > MaxServices) {
     std::nth_element(Services.begin(), Services.begin() + MaxServices, Services.end(),
                      [](const Wanted &A, const Wanted &B) { return A.Newest < B.Newest; });
+    // With several thousand services the ones left out would not be asked for in time.
+    for (size_t I = MaxServices; I < Services.size(); ++I)
+      if (Now - Services[I].Newest > placement::SharedSampleMaxAge)
+        this->fallBack(Services[I].Service, Now);
     Services.resize(MaxServices);
   }
   uint64_t Id = this->NextId++;
--- a/src/gateway/samples_test.cpp
+++ b/src/gateway/samples_test.cpp
@@ -254,6 +254,14 @@
   CHECK(W.sampled() - All == Sampler.Services[S0]->Sampled - Own);
 }
 
+// Guards against reads without a floor where one sampler has more services than it can be asked for
+// in time: 512 in each request, at most every 200 ms.
+TEST_CASE("shared samples: services that do not fit into the requests are sampled here") {
+  World W(2, 1, 8000);
+  W.run(1000);
+  W.run(3000, [&](Instance &In) { checkFloor(In, W.Ms); });
+}
+
 // Guards against reads without a floor after a sampler crashed, and against instances that wait for
 // it in each interval.
 TEST_CASE("shared samples: a sampler that dies is replaced within an interval") {
