--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -18,6 +18,7 @@
 constexpr uint64_t SaveJitterMs = 4000;
 // Interval of the reads of the claims while a change of primary is under way.
 constexpr absl::Duration ClaimCheckInterval = absl::Milliseconds(200);
+
 } // namespace
 
 Gateway::Gateway(Loop &InLoop, Codec &Protocol, Metrics &Counters, store::RowStore &Rows,
