Library for the decisions about callers

Cause: both request paths need the same decisions about memory and time of callers, and the gateway library is not available to src/session. Change: src/gateway/caller_budget.* moves to src/callers, in a library of its own; the gateway keeps the names by using-declarations. No behaviour changes.

--- a/src/gateway/caller_budget.cpp
+++ b/src/callers/caller_budget.cpp
@@ -1,8 +1,8 @@
-#include "gateway/caller_budget.h"
+#include "callers/caller_budget.h"
 
 #include <algorithm>
 
-namespace toucan::gateway {
+namespace toucan::callers {
 
 namespace {
 
@@ -135,4 +135,4 @@
   return {};
 }
 
-} // namespace toucan::gateway
+} // namespace toucan::callers
--- a/src/gateway/caller_budget.h
+++ b/src/callers/caller_budget.h
@@ -1,7 +1,8 @@
 // Decides which callers are read, processed, accepted and closed, so that a daemon stays within its
-// memory. No clock and no socket: the gateway reports sizes and carries out the decisions.
-#ifndef TOUCAN_GATEWAY_CALLER_BUDGET_H
-#define TOUCAN_GATEWAY_CALLER_BUDGET_H
+// memory. No clock and no socket: the gateway and the entry service of the PostgreSQL path report
+// sizes and carry out the decisions.
+#ifndef TOUCAN_CALLERS_CALLER_BUDGET_H
+#define TOUCAN_CALLERS_CALLER_BUDGET_H
 
 #include "base/base.h"
 
@@ -14,7 +15,7 @@
 #include <string_view>
 #include <utility>
 
-namespace toucan::gateway {
+namespace toucan::callers {
 
 // Memory limit that is assumed if the settings name none.
 inline constexpr uint64_t AssumedMemoryBytes = uint64_t{256} << 20;
@@ -117,6 +118,6 @@
   uint64_t DrainMark = 0;
 };
 
-} // namespace toucan::gateway
+} // namespace toucan::callers
 
-#endif // TOUCAN_GATEWAY_CALLER_BUDGET_H
+#endif // TOUCAN_CALLERS_CALLER_BUDGET_H
--- a/src/gateway/caller_budget_test.cpp
+++ b/src/callers/caller_budget_test.cpp
@@ -1,4 +1,4 @@
-#include "gateway/caller_budget.h"
+#include "callers/caller_budget.h"
 
 #include <doctest/doctest.h>
 
@@ -7,7 +7,7 @@
 #include <vector>
 
 using namespace toucan;
-using namespace toucan::gateway;
+using namespace toucan::callers;
 
 namespace {
 
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -3,7 +3,7 @@
 #ifndef TOUCAN_GATEWAY_GATEWAY_H
 #define TOUCAN_GATEWAY_GATEWAY_H
 
-#include "gateway/caller_budget.h"
+#include "callers/caller_budget.h"
 #include "gateway/changes.h"
 #include "gateway/codec.h"
 #include "gateway/groups.h"
@@ -26,6 +26,19 @@
 
 namespace toucan::gateway {
 
+// The PostgreSQL path uses the same decisions.
+using callers::AssumedMemoryBytes;
+using callers::CallerBudget;
+using callers::CallerBytes;
+using callers::CallerDeadlines;
+using callers::callerLimits;
+using callers::CallerProgress;
+using callers::CallerSocketBytes;
+using callers::CallerTimes;
+using callers::FullKernelBufferBytes;
+using callers::MaxCallerReadBytes;
+using callers::maxCallers;
+
 struct GatewayOptions {
   InstanceId Self;
   InstanceLocation Location;
