Callers' limits for larger messages, and reasons for closing callers

Cause: the decisions assumed a largest message of 1 MiB and buffers of 32 KB for each socket; the PostgreSQL path has messages of 16 MiB and may run on large machines with fast links. Change: callerLimits takes the largest message, callerSocketBytes follows the budget, and the reasons memory_limit and caller_timeout are added at the end of the list. FrameReader tells its capacity.

--- a/src/base/verdict.cpp
+++ b/src/base/verdict.cpp
@@ -73,6 +73,10 @@
      "the owning instance does not reach the primary"},
     {Reason::RetryRedirected, "retry_redirected", "00000", Not, Retry,
      "another instance reaches the primary"},
+    {Reason::MemoryLimit, "memory_limit", "53200", Not, Refuse,
+     "the instance has reached its memory limit for callers"},
+    {Reason::CallerTimeout, "caller_timeout", "08P01", Not, Refuse,
+     "the caller has exceeded a time bound"},
 }};
 
 // Rows are found by index, so the table must follow the enumeration.
--- a/src/base/verdict.h
+++ b/src/base/verdict.h
@@ -51,6 +51,8 @@
   // Added later: messages between instances carry the number of a reason.
   PrimaryNotReached, // refusal: the owner does not reach the primary, another instance does
   RetryRedirected,   // retry: request not run at the owner, sent to an instance that reaches it
+  MemoryLimit,       // refusal: the callers of this instance use too much memory
+  CallerTimeout,     // refusal: a message was not completed, or answers were not taken, in time
   Count
 };
 
--- a/src/callers/caller_budget.cpp
+++ b/src/callers/caller_budget.cpp
@@ -8,8 +8,8 @@
 
 constexpr uint64_t CallerMemoryDivisor = 4;
 constexpr size_t CallerShareDivisor = 16;
-// A message of 1 MiB and one read behind it, in a buffer that grows by doubling.
-constexpr size_t MinCallerBytes = size_t{2560} * 1024;
+constexpr size_t SocketDivisor = 1024;
+constexpr size_t MaxSocketBytes = size_t{256} * 1024;
 constexpr size_t MaxCallerBytes = size_t{4} << 20;
 // Session object, watch, timers and the kernel's socket.
 constexpr size_t IdleCallerBytes = 4096;
@@ -37,11 +37,14 @@
 
 } // namespace
 
-CallerLimits callerLimits(uint64_t MemoryLimitBytes) {
+CallerLimits callerLimits(uint64_t MemoryLimitBytes, size_t MaxMessageBytes) {
   uint64_t Memory = MemoryLimitBytes == 0 ? AssumedMemoryBytes : MemoryLimitBytes;
   auto Total = static_cast<size_t>(Memory / CallerMemoryDivisor);
+  // The largest message and one read behind it, in a buffer that grows by doubling.
+  size_t MinCallerBytes = MaxMessageBytes / 2 * 5;
   return {.TotalBytes = Total,
-          .CallerBytes = std::clamp(Total / CallerShareDivisor, MinCallerBytes, MaxCallerBytes)};
+          .CallerBytes = std::clamp(Total / CallerShareDivisor, MinCallerBytes,
+                                    std::max(MinCallerBytes, MaxCallerBytes))};
 }
 
 size_t maxCallers(uint64_t Descriptors) {
@@ -49,6 +52,11 @@
   return Descriptors > Reserved ? static_cast<size_t>(Descriptors - Reserved) : 1;
 }
 
+int callerSocketBytes(const CallerLimits &Limits) {
+  return static_cast<int>(std::clamp(Limits.TotalBytes / SocketDivisor,
+                                     static_cast<size_t>(CallerSocketBytes), MaxSocketBytes));
+}
+
 void CallerBudget::update(SessionId Id, const CallerBytes &Now) {
   auto [It, New] = this->Callers.try_emplace(Id);
   if (!New && It->second == Now)
--- a/src/callers/caller_budget.h
+++ b/src/callers/caller_budget.h
@@ -19,6 +19,8 @@
 
 // Memory limit that is assumed if the settings name none.
 inline constexpr uint64_t AssumedMemoryBytes = uint64_t{256} << 20;
+// The largest message of the hosted path.
+inline constexpr size_t DefaultMessageBytes = size_t{1} << 20;
 // SO_RCVBUF and SO_SNDBUF of a caller's socket. The kernel sets aside twice this value. It allows
 // 16 MB/s at a round trip of 2 ms, more than the largest machine's link.
 inline constexpr int CallerSocketBytes = 32 * 1024;
@@ -34,10 +36,13 @@
 
 // A quarter of the memory limit is for callers. The rest is for the program, links and targets'
 // answers in flight, and for what the allocator does not return.
-CallerLimits callerLimits(uint64_t MemoryLimitBytes);
+CallerLimits callerLimits(uint64_t MemoryLimitBytes, size_t MaxMessageBytes = DefaultMessageBytes);
 // Number of callers, out of the descriptors of the process. A quarter, at least 32, is left for
 // connections to targets, the store and other instances, and for the readiness and metrics ports.
 size_t maxCallers(uint64_t Descriptors);
+// SO_RCVBUF and SO_SNDBUF of a caller's socket where the machine may be large: a thousandth of the
+// memory of all callers, between CallerSocketBytes and 256 KB.
+int callerSocketBytes(const CallerLimits &Limits);
 
 // Bytes allocated for one caller, or for all of them.
 struct CallerBytes {
--- a/src/callers/caller_budget_test.cpp
+++ b/src/callers/caller_budget_test.cpp
@@ -236,3 +236,14 @@
   CHECK(CauseAfter(Times.DrainWindow, {.Opened = true, .HasUnsent = true, .SentBytes = 9}) ==
         "drain_timeout");
 }
+
+// Guards against a share that is too small for one message where messages may be large.
+TEST_CASE("a caller's share follows the largest message") {
+  constexpr size_t Large = size_t{16} << 20;
+  CHECK(callerLimits(SmallMachine).CallerBytes == MessageBytes / 2 * 5);
+  CHECK(callerLimits(SmallMachine, Large).CallerBytes == Large / 2 * 5);
+  CHECK(callerLimits(uint64_t{16} << 30, MessageBytes).CallerBytes == size_t{4} << 20);
+  CHECK(callerSocketBytes(callerLimits(SmallMachine)) == CallerSocketBytes);
+  CHECK(callerSocketBytes(callerLimits(uint64_t{512} << 20)) == 128 * 1024);
+  CHECK(callerSocketBytes(callerLimits(uint64_t{16} << 30)) == 256 * 1024);
+}
--- a/src/wire/wire.h
+++ b/src/wire/wire.h
@@ -56,6 +56,8 @@
   ReadStatus next(Frame &Out);
   // Number of bytes that were received but not yet decoded.
   size_t pending() const { return this->Buffer.size() - this->Consumed; }
+  // Number of bytes allocated.
+  size_t capacity() const { return this->Buffer.capacity(); }
 
 private:
   size_t MaxFrameBytes;
