Bound on the work for one caller in one event of the PostgreSQL path

Cause: a session processed all input that it had read ahead at once, up to 128 KB of small messages that are answered without a target. Change: 64 messages, or 64 KB of them, in one event; the rest follows from a timer, and reading is paused meanwhile.

--- a/src/session/collector.cpp
+++ b/src/session/collector.cpp
@@ -105,6 +105,16 @@
   this->SkippingToSync = true;
 }
 
+size_t Collector::bytes() const {
+  // A node of a map or set, with a short name.
+  constexpr size_t EntryBytes = 160;
+  const Batch &B = this->Current;
+  return B.Frames.capacity() + B.LocalReply.capacity() + B.FactBytes +
+         B.Facts.capacity() * sizeof(rules::RequestFacts) + B.Hidden.capacity() * sizeof(uint32_t) +
+         (this->Portals.size() + this->ParsedInRequest.size() + B.DefinedStatements.size()) *
+             EntryBytes;
+}
+
 FrameResult Collector::onQuery(const wire::Frame &F) {
   auto Sql = wire::parseQuery(F.Body);
   if (!Sql)
@@ -395,6 +405,8 @@
         B.EndsTransaction || S.Kind == StatementKind::Commit || S.Kind == StatementKind::Rollback;
     B.Writes = B.Writes || S.Kind == StatementKind::Write;
     B.ReadOnly = B.ReadOnly && (S.Kind == StatementKind::Read || S.Kind == StatementKind::Show);
+    for (const auto &Table : S.Tables)
+      B.FactBytes += sizeof(std::string) + Table.capacity();
     B.Facts.push_back({.Tables = S.Tables, .Fingerprint = Classification.Fingerprint});
   }
 }
--- a/src/session/collector.h
+++ b/src/session/collector.h
@@ -35,6 +35,7 @@
   bool Writes = false;                    // contains a statement that may write
   bool Executes = false;                  // contains Bind or Execute
   std::vector<rules::RequestFacts> Facts; // one per statement, without the database
+  size_t FactBytes = 0;                   // allocated for the tables in Facts
   bool TablesUnknown = false;             // a statement could not be parsed
   std::string RequestKey;
   // Statements defined by the caller's own Parse frames, in order.
@@ -64,6 +65,8 @@
   void skipToSync();
   // True when no request is partially received.
   bool empty() const { return !this->SkippingToSync && !this->RequestStarted; }
+  // Estimate of the bytes allocated for the partially received request.
+  size_t bytes() const;
 
 private:
   struct Portal {
--- a/src/session/machine.cpp
+++ b/src/session/machine.cpp
@@ -17,6 +17,16 @@
 // needs no credit.
 constexpr uint64_t CreditStepBytes = 16 * 1024;
 
+// What the pool holds of an answer that its caller does not take: as much as the default credit.
+constexpr uint64_t HeldAnswerBytes = 256 * 1024;
+// Unwritten output from which on the pool is assumed to hold a part of the answer back.
+constexpr uint64_t SlowOutputBytes = 64 * 1024;
+
+// Copies of a request: of the session, of the queue of the pool, and of the target connection.
+constexpr size_t RequestCopies = 3;
+// Map entry, shared object and classification of a prepared statement with a short text.
+constexpr size_t PreparedStatementBytes = 512;
+
 } // namespace
 
 Machine::Machine(SharedState &Common, MachineOptions Options, Instant Now, Actions &Out)
@@ -76,7 +86,7 @@
     return;
   }
   if (!this->Request)
-    return;
+    return this->resumeInput(Now, Out);
   ActiveRequest &R = *this->Request;
   if (!R.Sent) {
     if (Now >= R.RetryAt)
@@ -126,6 +136,39 @@
   this->fatal(Reason::Draining, Text, Out);
 }
 
+void Machine::onResume(Instant Now, Actions &Out) { this->resumeInput(Now, Out); }
+
+void Machine::onLimit(Reason R, const std::string &Detail, bool AnswersWritten, Actions &Out) {
+  if (this->closed())
+    return;
+  if (AnswersWritten && !this->Request)
+    return this->fatal(R, reasonText(R, Detail), Out);
+  this->count(R, Out);
+  this->close(reasonName(R), Out);
+}
+
+size_t Machine::requestBytes() const {
+  size_t Bytes = this->RequestCollector.bytes();
+  if (!this->Request)
+    return Bytes;
+  Bytes += this->Request->Exec.frames().size() * RequestCopies;
+  for (const auto &[Sequence, Frames] : this->Request->OutOfOrderChunks)
+    Bytes += Frames.size();
+  if (this->BytesOut - this->BytesWritten > SlowOutputBytes)
+    Bytes += HeldAnswerBytes;
+  return Bytes;
+}
+
+// The classification is counted as large as the text.
+size_t Machine::stateBytes() const {
+  return this->State.StatementBytes * 2 + this->State.Statements.size() * PreparedStatementBytes;
+}
+
+bool Machine::inMessage() const {
+  return this->Phase == PhaseKind::Ready && !this->Request && !this->isOutputBlocked() &&
+         !this->Held && !this->HasMoreInput && this->Reader.pending() > 0;
+}
+
 proto::SessionStatus Machine::status() const {
   proto::SessionStatus S;
   S.set_session_id(this->Options.Session);
--- a/src/session/machine.h
+++ b/src/session/machine.h
@@ -88,11 +88,26 @@
   // The instance drains: closes the session when it has no request, transaction or partial input.
   void onDrain(Actions &Out);
   void onDrainDeadline(Actions &Out);
+  // While a session is held, no further request of it is processed; onResume() continues.
+  void setHeld(bool Value) { this->Held = Value; }
+  void onResume(Instant Now, Actions &Out);
+  // Closes the session for a limit of callers. An answer that was begun stays incomplete, and "not
+  // run" is reported only if no request is active and AnswersWritten.
+  void onLimit(Reason R, const std::string &Detail, bool AnswersWritten, Actions &Out);
 
   bool closed() const { return this->Phase == PhaseKind::Closed; }
   const MachineOptions &options() const { return this->Options; }
   proto::SessionStatus status() const;
 
+  // Bytes allocated for this session, for the memory budget of callers: input, the request with its
+  // copies, and prepared statements.
+  size_t inputBytes() const { return this->Reader.capacity(); }
+  size_t requestBytes() const;
+  size_t stateBytes() const;
+  // For the time bounds of callers: a message is incomplete and nothing else is due.
+  bool inMessage() const;
+  uint64_t framesTaken() const { return this->FrameCount; }
+
   // Returns the id of the session that issued a request id.
   static uint32_t sessionOf(uint64_t RequestId) { return static_cast<uint32_t>(RequestId >> 32); }
 
@@ -185,6 +200,9 @@
   std::deque<UnwrittenChunk> UnwrittenChunks;
   bool Paused = false;
   bool HasHeldLargeMessage = false; // the reader has buffered a large message
+  bool Held = false;
+  bool HasMoreInput = false; // the bound on the work of one event was reached
+  uint64_t FrameCount = 0;   // messages taken from the input
 };
 
 } // namespace toucan::session
--- a/src/session/machine_input.cpp
+++ b/src/session/machine_input.cpp
@@ -11,6 +11,10 @@
 // Limit of pipelined input that is read ahead while a request is active.
 constexpr size_t MaxReadAheadBytes = 64 * 1024;
 constexpr size_t MaxIdleBufferBytes = 4 * 1024;
+// Messages of one caller, and bytes of them, that are processed before others are served. A message
+// that is larger is still processed.
+constexpr size_t MaxFramesPerEvent = 64;
+constexpr size_t MaxBytesPerEvent = 64 * 1024;
 constexpr std::string_view InvalidAuthorization = "28000";
 
 // Splits the "options" parameter at white space; a backslash escapes the next character.
@@ -70,14 +74,26 @@
 
 } // namespace
 
-// Processes input until a request is active, the output is blocked, the input is used up or the
-// session ends.
+// Processes input until a request is active, the output is blocked, the input is used up, the bound
+// on the work of one event is reached or the session ends.
 void Machine::processInput(Instant Now, Actions &Out) {
   while (this->Phase == PhaseKind::Startup && this->processStartup(Now, Out)) {
   }
+  size_t PendingBefore = this->Reader.pending();
+  size_t Frames = 0;
+  this->HasMoreInput = false;
   while (this->Phase == PhaseKind::Ready && !this->Request && !this->isOutputBlocked() &&
-         this->processFrame(Now, Out)) {
+         !this->Held) {
+    if (Frames++ == MaxFramesPerEvent ||
+        PendingBefore - this->Reader.pending() > MaxBytesPerEvent) {
+      this->HasMoreInput = this->Reader.pending() > 0;
+      break;
+    }
+    if (!this->processFrame(Now, Out))
+      break;
   }
+  if (this->HasMoreInput)
+    this->armTimer(Now, Out);
   if (this->closed())
     return;
   this->shrinkReader();
@@ -103,7 +119,7 @@
 }
 
 void Machine::updatePause(Actions &Out) {
-  bool Waiting = this->Request || this->isOutputBlocked();
+  bool Waiting = this->Request || this->isOutputBlocked() || this->Held || this->HasMoreInput;
   bool Want = Waiting && this->Reader.pending() > MaxReadAheadBytes;
   if (Want == this->Paused)
     return;
@@ -278,6 +294,7 @@
   wire::ReadStatus Status = this->Reader.next(F);
   if (Status == wire::ReadStatus::NeedMore)
     return false;
+  ++this->FrameCount;
   if (Status != wire::ReadStatus::Ready) {
     bool TooLarge = Status == wire::ReadStatus::TooLarge;
     Reason R = TooLarge ? Reason::TooLarge : Reason::ProtocolViolation;
