Memory, descriptors and time bounds for callers of toucanrund

Cause: input, requests that are never ended, prepared statements and unsent answers had limits for each caller but none for all of them, callers could take every descriptor, and an incomplete message stayed for ever. Change: src/session/entry_limits.cpp carries out the decisions of src/callers.

--- a/src/daemon/daemon_test.cpp
+++ b/src/daemon/daemon_test.cpp
@@ -83,3 +83,27 @@
   CHECK(Options.Entry.ListenPort == 6432);
   CHECK(Options.Pool.ConfirmTimeout == absl::Seconds(5));
 }
+
+// Guards against a start with a largest message that the memory for callers cannot hold.
+TEST_CASE("the largest message is limited by the memory limit") {
+  std::map<std::string, std::string> Flags = {{"instance-id", "a"},
+                                              {"data-centre", "d"},
+                                              {"region", "r"},
+                                              {"token-key", "0123456789abcdef"},
+                                              {"memory-limit-mb", "112"}};
+  auto Checked = [&] {
+    auto Values =
+        capture([&] { return resolveSettings(settingsTable(), EnvironmentPrefix, Flags, {}); });
+    REQUIRE(Values);
+    return capture([&] { return checkLimits(*Values); });
+  };
+  auto Refused = Checked();
+  REQUIRE_FALSE(Refused);
+  CHECK(Refused.Problem.Message == "setting \"max-frame-bytes\": value \"16777216\" is not allowed "
+                                   "with memory-limit-mb 112; allowed: at most 7340032");
+  Flags["max-frame-bytes"] = "7340032";
+  CHECK(Checked());
+  Flags["max-frame-bytes"] = "16777216";
+  Flags["memory-limit-mb"] = "0";
+  CHECK(Checked());
+}
--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -70,6 +70,11 @@
     std::fputs(Line->Print->c_str(), stdout);
     return 0;
   }
+  auto Checked = capture([&] { return checkLimits(Line->Settings); });
+  if (!Checked) {
+    std::fprintf(stderr, "toucanrund: %s\n", Checked.Problem.Message.c_str());
+    return ExitUsage;
+  }
   int Code = run(Line->Settings, Signals);
   stopLogging();
   return Code;
--- a/src/daemon/options.cpp
+++ b/src/daemon/options.cpp
@@ -1,5 +1,11 @@
 #include "daemon/options.h"
 
+#include "absl/strings/str_format.h"
+
+#include <sys/resource.h>
+#include <unistd.h>
+
+#include <algorithm>
 #include <cassert>
 
 namespace toucan::daemon {
@@ -65,6 +71,18 @@
                   "Largest number of callers connected at the same time."),
     numberSetting("max-frame-bytes", "16777216", 1024, 1'073'741'824,
                   "Largest message of a caller, bytes."),
+    numberSetting("memory-limit-mb", "0", 0, 16'777'216,
+                  "Memory limit of the process, MB; a quarter of it is for callers; 0: the "
+                  "memory of the machine."),
+    numberSetting("descriptor-limit", "0", 0, 10'000'000,
+                  "File descriptors of the process, a quarter of which, at least 32, is not for "
+                  "callers; 0: the limit of the system."),
+    numberSetting("startup-timeout-ms", "10000", 100, HourMs,
+                  "Time from the connection of a caller to its start-up packet, ms."),
+    numberSetting("message-timeout-ms", "120000", 100, HourMs,
+                  "Time from the first byte of a caller's message to its end, ms."),
+    numberSetting("answer-timeout-ms", "60000", 100, HourMs,
+                  "Time in which a caller takes 256 KB of its answers, or all that is left, ms."),
     numberSetting("request-timeout-ms", "30000", 10, DayMs,
                   "Deadline of a request of class short, ms."),
     numberSetting("long-request-timeout-ms", "3600000", 10, DayMs,
@@ -109,6 +127,27 @@
   return static_cast<uint16_t>(Values.integer(Name));
 }
 
+constexpr uint64_t BytesPerMb = uint64_t{1} << 20;
+
+uint64_t memoryLimitBytes(const SettingValues &Values) {
+  auto Given = static_cast<uint64_t>(Values.integer("memory-limit-mb"));
+  if (Given > 0)
+    return Given * BytesPerMb;
+  long Pages = sysconf(_SC_PHYS_PAGES);
+  long PageBytes = sysconf(_SC_PAGESIZE);
+  return Pages > 0 && PageBytes > 0
+             ? static_cast<uint64_t>(Pages) * static_cast<uint64_t>(PageBytes)
+             : 0;
+}
+
+uint64_t descriptorLimit(const SettingValues &Values) {
+  auto Given = static_cast<uint64_t>(Values.integer("descriptor-limit"));
+  rlimit System{};
+  if (getrlimit(RLIMIT_NOFILE, &System) != 0 || System.rlim_cur == RLIM_INFINITY)
+    return Given;
+  return Given > 0 ? std::min<uint64_t>(Given, System.rlim_cur) : System.rlim_cur;
+}
+
 } // namespace
 
 const std::string_view Usage = R"(toucanrund: database proxy with session consistency.
@@ -124,6 +163,19 @@
 
 std::span<const Setting> settingsTable() { return SettingsTable; }
 
+Result<void> checkLimits(const SettingValues &V) {
+  // A message of the largest size, with its copies, fits into the quarter for callers.
+  constexpr int64_t Divisor = 16;
+  int64_t Mb = V.integer("memory-limit-mb");
+  int64_t Frame = V.integer("max-frame-bytes");
+  int64_t Allowed = Mb * static_cast<int64_t>(BytesPerMb) / Divisor;
+  if (Mb == 0 || Frame <= Allowed)
+    return {};
+  return failure(absl::StrFormat("setting \"max-frame-bytes\": value \"%d\" is not allowed with "
+                                 "memory-limit-mb %d; allowed: at most %d",
+                                 Frame, Mb, Allowed));
+}
+
 DaemonOptions makeOptions(const SettingValues &V, uint64_t Incarnation) {
   InstanceId Self(V.text("instance-id"));
   const Policy *ChosenPolicy = policyNamed(V.text("policy"));
@@ -143,9 +195,14 @@
                 .ListenPort = port(V, "listen-port"),
                 .MaxCallers = static_cast<size_t>(V.integer("max-callers")),
                 .MaxFrameBytes = static_cast<size_t>(V.integer("max-frame-bytes")),
+                .MemoryLimitBytes = memoryLimitBytes(V),
+                .DescriptorLimit = descriptorLimit(V),
                 .TokenKey = V.text("token-key"),
                 .RequestTimeout = milliseconds(V, "request-timeout-ms"),
                 .LongRequestTimeout = milliseconds(V, "long-request-timeout-ms"),
+                .StartupTimeout = milliseconds(V, "startup-timeout-ms"),
+                .MessageTimeout = milliseconds(V, "message-timeout-ms"),
+                .AnswerTimeout = milliseconds(V, "answer-timeout-ms"),
                 .Seed = Incarnation,
                 .Reads = ChosenPolicy->Reads},
       .Pool = {.Self = Self,
--- a/src/daemon/options.h
+++ b/src/daemon/options.h
@@ -37,6 +37,8 @@
   platform::ClientOptions Platform;
 };
 
+// Checks the settings that depend on each other; the error names them.
+Result<void> checkLimits(const SettingValues &Values);
 DaemonOptions makeOptions(const SettingValues &Values, uint64_t Incarnation);
 
 } // namespace toucan::daemon
--- a/src/session/entry_impl.cpp
+++ b/src/session/entry_impl.cpp
@@ -38,14 +38,26 @@
 EntryService::Impl::Impl(Loop &EventLoop, EntryOptions Options, member::SendFn Send,
                          Metrics &Counters)
     : EventLoop(EventLoop), Send(std::move(Send)), Counters(Counters), Common(std::move(Options)),
-      SelfHash(instanceHash(Common.Options.Self)), ReadBuffer(ReadBytes) {}
+      SelfHash(instanceHash(Common.Options.Self)), ReadBuffer(ReadBytes),
+      Budget(callers::callerLimits(Common.Options.MemoryLimitBytes, Common.Options.MaxFrameBytes)),
+      // The session itself applies the bound on the start-up packet.
+      Times{.Open = absl::InfiniteDuration(),
+            .Message = Common.Options.MessageTimeout,
+            .DrainWindow = Common.Options.AnswerTimeout},
+      FullKernelBytes(2 * static_cast<size_t>(callers::callerSocketBytes(Budget.limits()))) {
+  this->checkCallers();
+}
 
 EntryService::Impl::~Impl() {
   this->closeListener();
   for (TimerId Id : this->Timers)
     this->EventLoop.cancel(Id);
+  if (this->CheckTimer)
+    this->EventLoop.cancel(*this->CheckTimer);
   while (!this->Callers.empty())
     this->removeCaller(this->Callers.begin()->first);
+  if (this->ResumeTimer)
+    this->EventLoop.cancel(*this->ResumeTimer);
 }
 
 void EntryService::Impl::beginDrain(Instant Deadline) {
@@ -121,12 +133,18 @@
     return;
   Caller &C = *It->second;
   ++this->HandlingDepth;
+  C.M->setHeld(!this->Budget.mayProcess(SessionId(Session)));
   Actions Pending;
   Handler(*C.M, Pending);
   this->executeActions(C, Pending);
   --this->HandlingDepth;
   if (C.ConnectionFailed || (C.Closing && C.WriteBuffer.empty()))
     this->removeCaller(Session);
+  else
+    this->updateRestriction(Session);
+  // Not left to the next iteration of the loop: one iteration may relay many parts of answers.
+  if (this->HandlingDepth == 0)
+    this->closeHeaviest();
   this->runDeferred();
 }
 
@@ -177,6 +195,7 @@
     if (Pending.size() == Before)
       break;
   }
+  this->account(C);
   if (!C.ConnectionFailed)
     this->updateWatch(C);
 }
@@ -235,6 +254,7 @@
       C.WriteOffset += static_cast<size_t>(Count);
   }
   size_t Written = C.WriteOffset - Start;
+  C.WrittenBytes += Written;
   if (C.WriteOffset == C.WriteBuffer.size()) {
     // Frees the buffer, since there may be many idle callers.
     std::string().swap(C.WriteBuffer);
@@ -250,13 +270,14 @@
 }
 
 void EntryService::Impl::updateWatch(Caller &C) {
-  bool Read = !C.Paused && !C.Closing;
+  bool Read = !C.Paused && !C.Closing && this->Budget.mayRead(SessionId(C.M->options().Session));
   uint32_t Events =
       (Read ? uint32_t{EPOLLIN} : 0U) | (C.WriteBuffer.empty() ? 0U : uint32_t{EPOLLOUT});
   if (Events == C.WatchedEvents)
     return;
   C.WatchedEvents = Events;
   this->EventLoop.rewatch(C.Fd, Events);
+  this->account(C);
 }
 
 MachineOptions EntryService::Impl::newMachineOptions(std::string Address) {
@@ -270,7 +291,7 @@
   while (M.ProcessId == 0 || this->SessionByProcessId.contains(M.ProcessId));
   M.SecretKey = uint32_t{this->SelfHash} << HashShift | (randomBits() & 0xffffU);
   M.Address = std::move(Address);
-  M.OverLimit = this->Callers.size() >= this->Common.Options.MaxCallers;
+  M.OverLimit = this->Callers.size() >= this->maxCallers() || !this->Budget.mayAccept();
   return M;
 }
 
--- a/src/session/entry_impl.h
+++ b/src/session/entry_impl.h
@@ -2,10 +2,12 @@
 #ifndef TOUCAN_SESSION_ENTRY_IMPL_H
 #define TOUCAN_SESSION_ENTRY_IMPL_H
 
+#include "callers/caller_budget.h"
 #include "session/machine.h"
 #include "session/session.h"
 
 #include "absl/container/flat_hash_map.h"
+#include "absl/container/flat_hash_set.h"
 
 #include <deque>
 #include <functional>
@@ -27,6 +29,8 @@
     bool Paused = false;
     uint32_t WatchedEvents = 0; // registered EPOLL* bits
     std::optional<TimerId> Timer;
+    uint64_t WrittenBytes = 0; // of answers, taken by the kernel
+    callers::CallerDeadlines Deadlines{absl::InfiniteFuture()};
   };
   using EventHandler = std::function<void(Machine &M, Actions &Out)>;
 
@@ -65,6 +69,23 @@
   void updateWatch(Caller &C);
   MachineOptions newMachineOptions(std::string Address);
 
+  // entry_limits.cpp: memory, time and number of callers.
+  size_t maxCallers() const;
+  size_t overLimitCallers() const;
+  // Reports the caller's sizes to the budget.
+  void account(Caller &C);
+  // Whether the budget lets the caller be read and its requests be processed.
+  bool isUnrestricted(uint32_t Session) const;
+  // Remembers callers that the budget holds back, and resumes the caller when it no longer does.
+  void updateRestriction(uint32_t Session);
+  void resumeRestricted();
+  void resume(const std::vector<uint32_t> &Sessions);
+  // Closes callers while the budget is spent. No session may be on the stack.
+  void closeHeaviest();
+  void closeCaller(uint32_t Session, std::string_view Cause, Reason R);
+  void checkCallers();
+  void publishCallerMetrics();
+
   Loop &EventLoop;
   member::SendFn Send;
   Metrics &Counters;
@@ -81,6 +102,16 @@
   absl::flat_hash_map<uint32_t, uint32_t> SessionByProcessId;     // by process id of the cancel key
   bool Interrupted = false;    // the drain deadline has interrupted a request or a transaction
   std::vector<TimerId> Timers; // for accept pauses and the drain deadline
+  callers::CallerBudget Budget;
+  callers::CallerTimes Times;
+  size_t FullKernelBytes;                   // what a full kernel buffer of a caller takes
+  absl::flat_hash_set<uint32_t> Restricted; // sessions that the budget holds back
+  std::vector<uint32_t> Resuming;           // sessions that are no longer held back
+  std::optional<TimerId> ResumeTimer;       // set while Resuming is not empty
+  bool ClosesHeaviest = false;
+  std::optional<TimerId> CheckTimer;
+  Instant NextDeadlineCheck = absl::InfinitePast();
+  RequestLog Lines;
 };
 
 } // namespace toucan::session
--- a/src/session/entry_socket.cpp
+++ b/src/session/entry_socket.cpp
@@ -20,9 +20,6 @@
 // Thousands of callers may reconnect within one second after an outage.
 constexpr int ListenBacklog = 4096;
 constexpr int MaxAcceptsPerRound = 64;
-// Connections accepted beyond MaxCallers, to receive an error message or to deliver a cancel
-// request.
-constexpr size_t OverLimitCallers = 1000;
 // Delay before accepting again when no file descriptor is free.
 constexpr absl::Duration AcceptPause = absl::Milliseconds(100);
 
@@ -89,6 +86,10 @@
   if (Fd < 0)
     return failure(absl::StrFormat("cannot create the caller socket: %s", errnoText()));
   setOption(Fd, SOL_SOCKET, SO_REUSEADDR, 1);
+  // Accepted sockets inherit the sizes, which must be set before the first byte arrives.
+  int Bytes = callers::callerSocketBytes(this->Budget.limits());
+  setOption(Fd, SOL_SOCKET, SO_RCVBUF, Bytes);
+  setOption(Fd, SOL_SOCKET, SO_SNDBUF, Bytes);
   auto *Any = reinterpret_cast<sockaddr *>(&Address);
   if (bind(Fd, Any, Length) < 0 || ::listen(Fd, ListenBacklog) < 0 ||
       getsockname(Fd, Any, &Length) < 0) {
@@ -137,7 +138,7 @@
 }
 
 void EntryService::Impl::addCaller(int Fd, std::string Address) {
-  if (this->Callers.size() >= this->Common.Options.MaxCallers + OverLimitCallers) {
+  if (this->Callers.size() >= this->maxCallers() + this->overLimitCallers()) {
     ::close(Fd);
     this->Counters.count(Reason::TooManyCallers);
     return;
@@ -149,6 +150,7 @@
   auto C = std::make_unique<Caller>();
   C->Fd = Fd;
   C->WatchedEvents = EPOLLIN;
+  C->Deadlines = callers::CallerDeadlines(this->EventLoop.now());
   Actions Pending;
   C->M =
       std::make_unique<Machine>(this->Common, std::move(Options), this->EventLoop.now(), Pending);
@@ -166,7 +168,8 @@
     return;
   Caller &C = *It->second;
   bool Gone = (Events & (EPOLLERR | EPOLLHUP)) != 0 && (Events & EPOLLIN) == 0;
-  if ((Events & EPOLLIN) != 0) {
+  // Another event of the same iteration may have spent the budget.
+  if ((Events & EPOLLIN) != 0 && this->Budget.mayRead(SessionId(Session))) {
     this->readCaller(Session, C);
   } else {
     // handleEvent() writes pending output after each event.
@@ -204,6 +207,8 @@
   ::close(C.Fd);
   this->SessionByProcessId.erase(C.M->options().ProcessId);
   this->Callers.erase(It);
+  this->Restricted.erase(Session);
+  this->Budget.remove(SessionId(Session));
   this->Counters.set("callers", static_cast<int64_t>(this->Callers.size()));
 }
 
--- a/src/session/entry_test.cpp
+++ b/src/session/entry_test.cpp
@@ -6,13 +6,17 @@
 
 #include <arpa/inet.h>
 #include <netinet/in.h>
+#include <poll.h>
 #include <sys/epoll.h>
 #include <sys/eventfd.h>
 #include <sys/socket.h>
 #include <sys/time.h>
 #include <unistd.h>
 
+#include <algorithm>
+#include <cerrno>
 #include <future>
+#include <memory>
 #include <mutex>
 #include <thread>
 
@@ -422,3 +426,109 @@
   });
   CHECK(E.waitForSent("a", proto::Envelope::kRelease));
 }
+
+namespace {
+
+// An answer of 8 MB, more than a session buffers, without its end.
+void replyPartially(EntryService &Service, const proto::Envelope &Message) {
+  if (!Message.has_exec())
+    return;
+  for (uint64_t I = 0; I < 8; ++I) {
+    proto::Envelope Chunk;
+    Chunk.mutable_chunk()->set_request_id(Message.exec().request_id());
+    Chunk.mutable_chunk()->set_sequence(I);
+    Chunk.mutable_chunk()->set_frames(
+        wire::Writer().begin('D').bytes(std::string(size_t{1} << 20, 'x')).end().take());
+    Service.onEnvelope(InstanceId("a"), Chunk);
+  }
+}
+
+size_t callersOf(EntryFixture &E) {
+  size_t Count = 0;
+  E.call([&] { Count = E.Service->callers(); });
+  return Count;
+}
+
+bool eventually(const std::function<bool()> &Condition) {
+  for (int I = 0; I < 1000 && !Condition(); ++I)
+    absl::SleepFor(absl::Milliseconds(10));
+  return Condition();
+}
+
+} // namespace
+
+// Guards against an incomplete message that keeps its session for all time, and against a time
+// bound that also closes an idle session.
+TEST_CASE("a session whose message is not completed in time is closed") {
+  EntryFixture E({.MessageTimeout = absl::Milliseconds(100)}, replyImmediately);
+  Client Idle(E.Service->port());
+  Idle.start();
+  Client Late(E.Service->port());
+  Late.start();
+  Late.send(wire::query("select 1").substr(0, 8));
+  CHECK(Late.receiveUntil('Z') == "Eclosed");
+  CHECK(Late.SqlState == "08P01");
+  CHECK(E.Counters.value("callers_closed_message_timeout") == 1);
+  Idle.send(wire::query("select 1"));
+  CHECK(Idle.receiveUntil('Z') == "DCZ");
+}
+
+// Guards against answers that are kept for a caller which does not take them, and against a cut
+// answer that looks complete.
+TEST_CASE("a caller that does not take its answer in time is disconnected") {
+  EntryFixture E({.AnswerTimeout = absl::Milliseconds(200)}, replyPartially);
+  Client Stalled(E.Service->port());
+  Stalled.start();
+  Stalled.send(wire::query("select 1"));
+  CHECK(eventually([&] { return callersOf(E) == 0; }));
+  CHECK(E.Counters.value("callers_closed_drain_timeout") == 1);
+  std::string Types = Stalled.receiveUntil('Z');
+  CHECK(Types.find('Z') == std::string::npos);
+  CHECK(Types.find('E') == std::string::npos);
+}
+
+// Guards against the memory of all callers together, and against an instance that serves nobody
+// while a group of callers holds its memory.
+TEST_CASE("the callers with most memory are closed when the budget is spent") {
+  // A quarter of the limit is for callers: 4 MB.
+  EntryFixture E({.MaxFrameBytes = size_t{1} << 20, .MemoryLimitBytes = uint64_t{16} << 20},
+                 replyImmediately);
+  std::string Part = wire::query(std::string(1'000'000, ' ')).substr(0, 900'000);
+  std::vector<std::unique_ptr<Client>> Heavy;
+  for (int I = 0; I < 8; ++I) {
+    Client &C = *Heavy.emplace_back(std::make_unique<Client>(E.Service->port()));
+    C.start();
+    for (size_t At = 0; At < Part.size();) {
+      ssize_t Count = ::send(C.Fd, Part.data() + At, Part.size() - At, MSG_NOSIGNAL | MSG_DONTWAIT);
+      if (Count < 0 && errno != EAGAIN)
+        break;
+      At += static_cast<size_t>(std::max<ssize_t>(Count, 0));
+      if (Count < 0 && !eventually([&] {
+            pollfd P{.fd = C.Fd, .events = POLLOUT, .revents = 0};
+            return poll(&P, 1, 0) > 0 || E.Counters.value("callers_closed_memory") > 0;
+          }))
+        break;
+      if (E.Counters.value("callers_closed_memory") > 0)
+        break;
+    }
+  }
+  CHECK(E.Counters.value("callers_closed_memory") > 0);
+  CHECK(callersOf(E) < 8);
+  Client Ordinary(E.Service->port());
+  Ordinary.start();
+  Ordinary.send(wire::query("select 1"));
+  CHECK(Ordinary.receiveUntil('Z') == "DCZ");
+}
+
+// Guards against callers that take the descriptors which targets and other instances need.
+TEST_CASE("a part of the descriptors is not for callers") {
+  // 32 of 40 are reserved.
+  EntryFixture E({.DescriptorLimit = 40}, replyImmediately);
+  std::vector<std::unique_ptr<Client>> Accepted;
+  for (int I = 0; I < 8; ++I)
+    Accepted.emplace_back(std::make_unique<Client>(E.Service->port()))->start();
+  Client Refused(E.Service->port());
+  Refused.send(wire::startup({{"user", "u"}, {"database", "orders"}}));
+  CHECK(Refused.receiveUntil('Z') == "Eclosed");
+  CHECK(Refused.SqlState == "53300");
+}
--- a/src/session/session.h
+++ b/src/session/session.h
@@ -17,10 +17,14 @@
   uint16_t ListenPort = 0; // 0: assigned by the operating system
   size_t MaxCallers = 20'000;
   size_t MaxFrameBytes = 16 * 1024 * 1024;
-  std::string TokenKey;                              // HMAC key of session tokens; empty: no tokens
-  absl::Duration RequestTimeout = absl::Seconds(30); // of one request
+  uint64_t MemoryLimitBytes = 0; // of the process, from which the budget follows; 0: 256 MB
+  uint64_t DescriptorLimit = 0;  // of the process, a part of which is for callers; 0: none
+  std::string TokenKey;          // HMAC key of session tokens; empty: no tokens
+  absl::Duration RequestTimeout = absl::Seconds(30);       // of one request
   absl::Duration LongRequestTimeout = absl::Seconds(3600); // of one request of class long
   absl::Duration StartupTimeout = absl::Seconds(10);       // from accept to the start-up packet
+  absl::Duration MessageTimeout = absl::Seconds(120); // from the first byte of a message to its end
+  absl::Duration AnswerTimeout = absl::Seconds(60);   // for taking AnswerBytes, or all that is left
   uint64_t Seed = 1;
   ReadsAfterWrite Reads = ReadsAfterWrite::ByPosition;
 };
