--- a/src/gateway/caller_budget.cpp
+++ b/src/callers/caller_budget.cpp
@@ -1,15 +1,15 @@
-#include "gateway/caller_budget.h"
+#include "callers/caller_budget.h"
 
 #include <algorithm>
 
-namespace toucan::gateway {
+namespace toucan::callers {
 
 namespace {
 
 constexpr uint64_t CallerMemoryDivisor = 4;
 constexpr size_t CallerShareDivisor = 16;
-// A message of 1 MiB and one read behind it, in a buffer that grows by doubling.
-constexpr size_t MinCallerBytes = size_t{2560} * 1024;
+constexpr size_t SocketDivisor = 1024;
+constexpr size_t MaxSocketBytes = size_t{256} * 1024;
 constexpr size_t MaxCallerBytes = size_t{4} << 20;
 // Session object, watch, timers and the kernel's socket.
 constexpr size_t IdleCallerBytes = 4096;
@@ -40,11 +40,14 @@
 
 } // namespace
 
-CallerLimits callerLimits(uint64_t MemoryLimitBytes) {
+CallerLimits callerLimits(uint64_t MemoryLimitBytes, size_t MaxMessageBytes) {
   uint64_t Memory = MemoryLimitBytes == 0 ? AssumedMemoryBytes : MemoryLimitBytes;
   auto Total = static_cast<size_t>(Memory / CallerMemoryDivisor);
+  // The largest message and one read behind it, in a buffer that grows by doubling.
+  size_t MinCallerBytes = MaxMessageBytes / 2 * 5;
   return {.TotalBytes = Total,
-          .CallerBytes = std::clamp(Total / CallerShareDivisor, MinCallerBytes, MaxCallerBytes)};
+          .CallerBytes = std::clamp(Total / CallerShareDivisor, MinCallerBytes,
+                                    std::max(MinCallerBytes, MaxCallerBytes))};
 }
 
 size_t maxCallers(uint64_t Descriptors) {
@@ -52,6 +55,11 @@
   return Descriptors > Reserved ? static_cast<size_t>(Descriptors - Reserved) : 1;
 }
 
+int callerSocketBytes(const CallerLimits &Limits) {
+  return static_cast<int>(std::clamp(Limits.TotalBytes / SocketDivisor,
+                                     static_cast<size_t>(CallerSocketBytes), MaxSocketBytes));
+}
+
 void CallerBudget::update(SessionId Id, const CallerBytes &Reported) {
   CallerBytes Now = Reported;
   // A caller below the least share is not read only until the heaviest are closed, in the same
@@ -152,4 +160,4 @@
   return {};
 }
 
-} // namespace toucan::gateway
+} // namespace toucan::callers
--- a/src/gateway/caller_budget.h
+++ b/src/callers/caller_budget.h
@@ -1,7 +1,8 @@
 // Decides which callers are read, processed, accepted and closed, so that a daemon stays within its
-// memory. No clock and no socket: the gateway reports sizes and carries out the decisions.
-#ifndef TOUCAN_GATEWAY_CALLER_BUDGET_H
-#define TOUCAN_GATEWAY_CALLER_BUDGET_H
+// memory. No clock and no socket: the gateway and the entry service of the PostgreSQL path report
+// sizes and carry out the decisions.
+#ifndef TOUCAN_CALLERS_CALLER_BUDGET_H
+#define TOUCAN_CALLERS_CALLER_BUDGET_H
 
 #include "base/base.h"
 
@@ -14,10 +15,12 @@
 #include <string_view>
 #include <utility>
 
-namespace toucan::gateway {
+namespace toucan::callers {
 
 // Memory limit that is assumed if the settings name none.
 inline constexpr uint64_t AssumedMemoryBytes = uint64_t{256} << 20;
+// The largest message of the hosted path.
+inline constexpr size_t DefaultMessageBytes = size_t{1} << 20;
 // SO_RCVBUF and SO_SNDBUF of a caller's socket. The kernel sets aside twice this value. It allows
 // 16 MB/s at a round trip of 2 ms, more than the largest machine's link.
 inline constexpr int CallerSocketBytes = 32 * 1024;
@@ -33,10 +36,13 @@
 
 // A quarter of the memory limit is for callers. The rest is for the program, links and targets'
 // answers in flight, and for what the allocator does not return.
-CallerLimits callerLimits(uint64_t MemoryLimitBytes);
+CallerLimits callerLimits(uint64_t MemoryLimitBytes, size_t MaxMessageBytes = DefaultMessageBytes);
 // Number of callers, out of the descriptors of the process. A quarter, at least 32, is left for
 // connections to targets, the store and other instances, and for the readiness and metrics ports.
 size_t maxCallers(uint64_t Descriptors);
+// SO_RCVBUF and SO_SNDBUF of a caller's socket where the machine may be large: a thousandth of the
+// memory of all callers, between CallerSocketBytes and 256 KB.
+int callerSocketBytes(const CallerLimits &Limits);
 
 // Bytes allocated for one caller, or for all of them.
 struct CallerBytes {
@@ -120,6 +126,6 @@
   uint64_t DrainMark = 0;
 };
 
-} // namespace toucan::gateway
+} // namespace toucan::callers
 
-#endif // TOUCAN_GATEWAY_CALLER_BUDGET_H
+#endif // TOUCAN_CALLERS_CALLER_BUDGET_H
--- a/src/gateway/caller_budget_test.cpp
+++ b/src/callers/caller_budget_test.cpp
@@ -1,4 +1,4 @@
-#include "gateway/caller_budget.h"
+#include "callers/caller_budget.h"
 
 #include <doctest/doctest.h>
 
@@ -7,7 +7,7 @@
 #include <vector>
 
 using namespace toucan;
-using namespace toucan::gateway;
+using namespace toucan::callers;
 
 namespace {
 
@@ -302,3 +302,14 @@
   Idle.postpone(Stalled);
   CHECK(Idle.check(Start + absl::Hours(1), {.Opened = true}, Times).empty());
 }
+
+// Guards against a share that is too small for one message where messages may be large.
+TEST_CASE("a caller's share follows the largest message") {
+  constexpr size_t Large = size_t{16} << 20;
+  CHECK(callerLimits(SmallMachine).CallerBytes == MessageBytes / 2 * 5);
+  CHECK(callerLimits(SmallMachine, Large).CallerBytes == Large / 2 * 5);
+  CHECK(callerLimits(uint64_t{16} << 30, MessageBytes).CallerBytes == size_t{4} << 20);
+  CHECK(callerSocketBytes(callerLimits(SmallMachine)) == CallerSocketBytes);
+  CHECK(callerSocketBytes(callerLimits(uint64_t{512} << 20)) == 128 * 1024);
+  CHECK(callerSocketBytes(callerLimits(uint64_t{16} << 30)) == 256 * 1024);
+}
