--- a/src/gateway/caller_budget.h
+++ b/src/callers/caller_budget.h
@@ -1,7 +1,8 @@
 // Decides which callers are read, processed, accepted and closed, so that a daemon stays within its
-// memory. No clock and no socket: the gateway reports sizes and carries out the decisions.
-#ifndef TOUCAN_GATEWAY_CALLER_BUDGET_H
-#define TOUCAN_GATEWAY_CALLER_BUDGET_H
+// memory. No clock and no socket: the gateway and the entry service of the PostgreSQL path report
+// sizes and carry out the decisions.
+#ifndef TOUCAN_CALLERS_CALLER_BUDGET_H
+#define TOUCAN_CALLERS_CALLER_BUDGET_H
 
 #include "base/base.h"
 
@@ -14,10 +15,12 @@
 #include <string_view>
 #include <utility>
 
-namespace toucan::gateway {
+namespace toucan::callers {
 
 // Memory limit that is assumed if the settings name none.
 inline constexpr uint64_t AssumedMemoryBytes = uint64_t{256} << 20;
+// The largest message of the hosted path.
+inline constexpr size_t DefaultMessageBytes = size_t{1} << 20;
 // SO_RCVBUF and SO_SNDBUF of a caller's socket. The kernel sets aside twice this value. It allows
 // 16 MB/s at a round trip of 2 ms, more than the largest machine's link.
 inline constexpr int CallerSocketBytes = 32 * 1024;
@@ -33,10 +36,13 @@
 
 // A quarter of the memory limit is for callers. The rest is for the program, links and targets'
 // answers in flight, and for what the allocator does not return.
-CallerLimits callerLimits(uint64_t MemoryLimitBytes);
+CallerLimits callerLimits(uint64_t MemoryLimitBytes, size_t MaxMessageBytes = DefaultMessageBytes);
 // Number of callers, out of the descriptors of the process. A quarter, at least 32, is left for
 // connections to targets, the store and other instances, and for the readiness and metrics ports.
 size_t maxCallers(uint64_t Descriptors);
+// SO_RCVBUF and SO_SNDBUF of a caller's socket where the machine may be large: a thousandth of the
+// memory of all callers, between CallerSocketBytes and 256 KB.
+int callerSocketBytes(const CallerLimits &Limits);
 
 // Bytes allocated for one caller, or for all of them.
 struct CallerBytes {
@@ -44,11 +50,12 @@
   size_t Statement = 0; // the current statement and its copy for the target
   size_t State = 0;     // session values and prepared statements
   size_t Unsent = 0;    // answers that the kernel has not taken
-  size_t Kernel = 0;    // allowance for kernel buffers that are full
+  size_t Kernel = 0;    // allowance for a full send buffer
+  size_t Unread = 0;    // allowance for a full receive buffer; the caller is not read
   bool operator==(const CallerBytes &) const = default;
-  size_t total() const {
-    return this->Input + this->Statement + this->State + this->Unsent + this->Kernel;
-  }
+  // What reading and processing less of the caller limits.
+  size_t work() const { return this->Input + this->Statement + this->Unsent + this->Kernel; }
+  size_t total() const { return this->work() + this->State + this->Unread; }
 };
 
 class CallerBudget {
@@ -56,7 +63,7 @@
   explicit CallerBudget(CallerLimits Limits) : Limits(Limits) {}
 
   // Reports the current sizes of a caller. The first report adds the caller.
-  void update(SessionId Id, const CallerBytes &Now);
+  void update(SessionId Id, const CallerBytes &Reported);
   void remove(SessionId Id);
 
   // Whether bytes may be read from the caller's socket.
@@ -67,7 +74,7 @@
   bool mayAccept() const { return this->totalBytes() <= this->Limits.TotalBytes; }
   // The caller to close now, if any. To be asked again after it was removed.
   std::optional<SessionId> toClose() const;
-  // Above this, callers that hold more than an equal share are paused.
+  // Above this, callers whose work holds more than an equal share are paused.
   bool pressed() const { return this->totalBytes() > this->pressedBytes(); }
 
   const CallerLimits &limits() const { return this->Limits; }
@@ -108,6 +115,8 @@
   explicit CallerDeadlines(Instant Accepted) : Accepted(Accepted) {}
   // Cause of closing the caller; empty if it is within the bounds.
   std::string_view check(Instant Now, const CallerProgress &P, const CallerTimes &Times);
+  // The process did not run for this time, so that the caller could not make progress.
+  void postpone(absl::Duration Stalled);
 
 private:
   Instant Accepted;
@@ -117,6 +126,6 @@
   uint64_t DrainMark = 0;
 };
 
-} // namespace toucan::gateway
+} // namespace toucan::callers
 
-#endif // TOUCAN_GATEWAY_CALLER_BUDGET_H
+#endif // TOUCAN_CALLERS_CALLER_BUDGET_H
--- a/src/gateway/caller_budget_test.cpp
+++ b/src/callers/caller_budget_test.cpp
@@ -1,4 +1,4 @@
-#include "gateway/caller_budget.h"
+#include "callers/caller_budget.h"
 
 #include <doctest/doctest.h>
 
@@ -7,7 +7,7 @@
 #include <vector>
 
 using namespace toucan;
-using namespace toucan::gateway;
+using namespace toucan::callers;
 
 namespace {
 
@@ -180,6 +180,50 @@
   CHECK(B.mayRead(SessionId(1)));
 }
 
+// Guards against callers that stay paused for ever: the allowance for the buffer that is not read
+// kept each caller above its share, and all of them together kept the pressure up.
+TEST_CASE("callers that hold nothing are read although all of them were paused") {
+  CallerBudget B(callerLimits(SmallMachine));
+  constexpr uint64_t Count = 400;
+  for (uint64_t I = 1; I <= Count; ++I)
+    B.update(SessionId(I), {.Input = 15, .Unread = FullKernelBufferBytes});
+  for (uint64_t I = 1; I <= Count; ++I)
+    CHECK(B.mayRead(SessionId(I)));
+  CHECK_FALSE(B.toClose().has_value());
+}
+
+// As before, with sessions whose values are above the share. Not reading them frees nothing.
+TEST_CASE("sessions with many values are read under pressure") {
+  CallerBudget B(callerLimits(SmallMachine));
+  constexpr uint64_t Count = 200;
+  for (uint64_t I = 1; I <= Count; ++I)
+    B.update(SessionId(I),
+             {.Input = 100, .State = size_t{120} * 1024, .Unread = FullKernelBufferBytes});
+  CHECK(B.pressed());
+  for (uint64_t I = 1; I <= Count; ++I)
+    CHECK(B.mayRead(SessionId(I)));
+}
+
+// Guards against callers that are closed because they were not read, while the ones that hold the
+// memory stay: each of these is light, and sends nothing more.
+TEST_CASE("many callers that each hold little are closed before those that hold nothing") {
+  CallerBudget B(callerLimits(SmallMachine));
+  constexpr uint64_t Light = 2000;
+  constexpr uint64_t Ordinary = 20;
+  for (uint64_t I = 1; I <= Light; ++I)
+    B.update(SessionId(I), {.State = size_t{15} * 1024});
+  for (uint64_t I = 1; I <= Ordinary; ++I)
+    B.update(SessionId(Light + I), {.Input = 100, .Unread = FullKernelBufferBytes});
+  CHECK_FALSE(B.mayAccept());
+  size_t ClosedOrdinary = 0;
+  while (std::optional<SessionId> Id = B.toClose()) {
+    ClosedOrdinary += Id->Value > Light ? 1 : 0;
+    B.remove(*Id);
+  }
+  CHECK(ClosedOrdinary == 0);
+  CHECK(B.mayAccept());
+}
+
 // Guards against sums that keep what was released.
 TEST_CASE("the sums follow updates and removals") {
   CallerBudget B(callerLimits(SmallMachine));
@@ -236,3 +280,36 @@
   CHECK(CauseAfter(Times.DrainWindow, {.Opened = true, .HasUnsent = true, .SentBytes = 9}) ==
         "drain_timeout");
 }
+
+// Guards against callers that are closed because the process was suspended.
+TEST_CASE("time bounds leave out the time in which the process did not run") {
+  CallerTimes Times;
+  Instant Start = absl::FromUnixSeconds(1000);
+  constexpr absl::Duration Stalled = absl::Minutes(5);
+  std::vector<std::pair<CallerProgress, absl::Duration>> Cases = {
+      {{}, Times.Open},
+      {{.Opened = true, .InMessage = true}, Times.Message},
+      {{.Opened = true, .HasUnsent = true}, Times.DrainWindow}};
+  for (const auto &[P, Limit] : Cases) {
+    CallerDeadlines D(Start);
+    CHECK(D.check(Start, P, Times).empty());
+    D.postpone(Stalled);
+    CHECK(D.check(Start + Stalled + Limit, P, Times).empty());
+    CHECK_FALSE(D.check(Start + Stalled + Limit + absl::Milliseconds(1), P, Times).empty());
+  }
+  // A caller that is idle has no bound after it either.
+  CallerDeadlines Idle(Start);
+  Idle.postpone(Stalled);
+  CHECK(Idle.check(Start + absl::Hours(1), {.Opened = true}, Times).empty());
+}
+
+// Guards against a share that is too small for one message where messages may be large.
+TEST_CASE("a caller's share follows the largest message") {
+  constexpr size_t Large = size_t{16} << 20;
+  CHECK(callerLimits(SmallMachine).CallerBytes == MessageBytes / 2 * 5);
+  CHECK(callerLimits(SmallMachine, Large).CallerBytes == Large / 2 * 5);
+  CHECK(callerLimits(uint64_t{16} << 30, MessageBytes).CallerBytes == size_t{4} << 20);
+  CHECK(callerSocketBytes(callerLimits(SmallMachine)) == CallerSocketBytes);
+  CHECK(callerSocketBytes(callerLimits(uint64_t{512} << 20)) == 128 * 1024);
+  CHECK(callerSocketBytes(callerLimits(uint64_t{16} << 30)) == 256 * 1024);
+}
--- a/src/gateway/callers.cpp
+++ b/src/gateway/callers.cpp
@@ -51,6 +51,11 @@
   return {};
 }
 
+void CallerConnections::postpone(absl::Duration Stalled) {
+  for (auto &[Id, C] : this->Callers)
+    C->Deadlines.postpone(Stalled);
+}
+
 void CallerConnections::tick(Instant Now) {
   this->resumePaused();
   if (Now >= this->NextCallerCheck)
@@ -242,9 +247,9 @@
                 .Unsent = C.Unsent.capacity()};
   // The kernel's buffer is full if it did not take all, and may be full if it is not read.
   if (!C.Unsent.empty())
-    B.Kernel += FullKernelBufferBytes;
+    B.Kernel = FullKernelBufferBytes;
   if (!(C.WatchedEvents & EPOLLIN) && !C.HalfClosed)
-    B.Kernel += FullKernelBufferBytes;
+    B.Unread = FullKernelBufferBytes;
   this->Budget.update(Id, B);
   if (!this->ClosesHeaviest && this->Budget.toClose()) {
     // Sessions may be on the stack, so they are removed in a later task of the loop.
@@ -329,7 +334,7 @@
   this->Deps.Counters.set("caller_bytes_statements", static_cast<int64_t>(All.Statement));
   this->Deps.Counters.set("caller_bytes_state", static_cast<int64_t>(All.State));
   this->Deps.Counters.set("caller_bytes_unsent", static_cast<int64_t>(All.Unsent));
-  this->Deps.Counters.set("caller_bytes_kernel", static_cast<int64_t>(All.Kernel));
+  this->Deps.Counters.set("caller_bytes_kernel", static_cast<int64_t>(All.Kernel + All.Unread));
   this->Deps.Counters.set("callers", static_cast<int64_t>(this->Callers.size()));
   this->Deps.Counters.set("callers_paused", static_cast<int64_t>(this->PausedCallers.size()));
 }
--- a/src/gateway/callers.h
+++ b/src/gateway/callers.h
@@ -3,7 +3,7 @@
 #ifndef TOUCAN_GATEWAY_CALLERS_H
 #define TOUCAN_GATEWAY_CALLERS_H
 
-#include "gateway/caller_budget.h"
+#include "callers/caller_budget.h"
 #include "gateway/session.h"
 
 #include "absl/container/flat_hash_map.h"
@@ -16,6 +16,19 @@
 
 namespace toucan::gateway {
 
+// The PostgreSQL path uses the same decisions.
+using callers::AssumedMemoryBytes;
+using callers::CallerBudget;
+using callers::CallerBytes;
+using callers::CallerDeadlines;
+using callers::callerLimits;
+using callers::CallerProgress;
+using callers::CallerSocketBytes;
+using callers::CallerTimes;
+using callers::FullKernelBufferBytes;
+using callers::MaxCallerReadBytes;
+using callers::maxCallers;
+
 struct CallerOptions {
   std::string Address;           // IP:PORT to listen on
   size_t MaxSessions = 0;        // callers beyond this are refused
@@ -44,6 +57,8 @@
   // Lets paused callers go on, and applies the time bounds now and then. Called every few tens of
   // milliseconds.
   void tick(Instant Now);
+  // The process did not run for this time. It is not counted against the callers.
+  void postpone(absl::Duration Stalled);
 
   size_t size() const { return this->Callers.size(); }
   bool empty() const { return this->Callers.empty(); }
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -18,6 +18,7 @@
 constexpr uint64_t SaveJitterMs = 4000;
 // Interval of the reads of the claims while a change of primary is under way.
 constexpr absl::Duration ClaimCheckInterval = absl::Milliseconds(200);
+
 } // namespace
 
 Gateway::Gateway(Loop &InLoop, Codec &Protocol, Metrics &Counters, store::RowStore &Rows,
@@ -413,6 +414,7 @@
         .kv("stalled_ms", absl::ToInt64Milliseconds(Now - this->LastTick));
     for (auto &[Name, S] : this->Services)
       S.Changes->onStall();
+    this->Callers.postpone(Now - this->LastTick);
   }
   this->LastTick = Now;
   for (const catalog::TargetChange &Change : this->Targets.expire(Now))
--- a/src/gateway/session.cpp
+++ b/src/gateway/session.cpp
@@ -54,8 +54,8 @@
   if (!this->Op)
     return 0;
   const Statement &S = this->Op->Stmt;
-  // The text is copied once for the link to the target.
-  return 2 * S.Text.capacity() + S.Value.capacity() + S.Name.capacity();
+  // The text and the id are copied once for the link to the target.
+  return 2 * (S.Text.capacity() + this->Op->Id.capacity()) + S.Value.capacity() + S.Name.capacity();
 }
 
 // Processes the messages in order. The next one waits until the current statement is answered. A
@@ -230,10 +230,14 @@
     return;
   }
   this->StateBytes = Size;
-  if (IsValue)
-    this->Values[Stmt.Name] = Stmt.Value;
-  else
-    this->Prepared[Stmt.Name] = {.Writes = Stmt.PreparedWrites, .Shape = Stmt.Value};
+  // An assignment would keep the memory of a longer former text, which is not counted any more.
+  if (IsValue) {
+    std::string(Stmt.Value).swap(this->Values[Stmt.Name]);
+  } else {
+    PreparedStatement &P = this->Prepared[Stmt.Name];
+    P.Writes = Stmt.PreparedWrites;
+    std::string(Stmt.Value).swap(P.Shape);
+  }
   this->replySuccess();
 }
 
--- a/src/gateway/session_single.cpp
+++ b/src/gateway/session_single.cpp
@@ -40,7 +40,7 @@
     auto [It, New] = Link.Values.try_emplace(Name, Value);
     if (!New && It->second == Value)
       continue;
-    It->second = Value;
+    std::string(Value).swap(It->second); // see storeState
     Out.push_back({.Request = {.Command = TargetCommand::Set, .Name = Name, .Value = Value},
                    .OnAnswer = Check});
   }
