Callers on the same machine: segments that fit into the send buffer

Cause: the socket buffers of callers have 64 KB since the bound on callers' memory, and a loopback segment is as large. The sender could keep one segment under way, which the peer acknowledges after 40 ms: 1.6 MB/s. Found because a case of test_adapter ("a message is refused once, also if the caller reads nothing") took 7.9 s, in the code before too, and exceeded its limit of 10 s once, in a thread-sanitizer run beside load of 20. Change: TCP_MAXSEG of an eighth of the buffer on both request paths. Links other than loopback have smaller segments.

--- a/src/callers/caller_budget.h
+++ b/src/callers/caller_budget.h
@@ -24,6 +24,10 @@
 // SO_RCVBUF and SO_SNDBUF of a caller's socket. The kernel sets aside twice this value. It allows
 // 16 MB/s at a round trip of 2 ms, more than the largest machine's link.
 inline constexpr int CallerSocketBytes = 32 * 1024;
+// Largest segment (TCP_MAXSEG) for socket buffers of the given size. A loopback segment may have 64
+// KB: it would fill the send buffer alone, and the peer acknowledges a single one after 40 ms only.
+// Segments on other links are smaller.
+constexpr int callerSegmentBytes(int SocketBytes) { return SocketBytes / 8; }
 // What a full kernel buffer of a caller takes, in each direction.
 inline constexpr size_t FullKernelBufferBytes = size_t{2} * CallerSocketBytes;
 // Bytes read from a caller in one iteration of the event loop.
--- a/src/gateway/socket.cpp
+++ b/src/gateway/socket.cpp
@@ -1,4 +1,5 @@
 #include "gateway/socket.h"
+#include "callers/caller_budget.h"
 
 #include "absl/strings/numbers.h"
 #include "absl/strings/str_cat.h"
@@ -104,6 +105,8 @@
 void setBufferSizes(int Fd, int Bytes) {
   setsockopt(Fd, SOL_SOCKET, SO_RCVBUF, &Bytes, sizeof Bytes);
   setsockopt(Fd, SOL_SOCKET, SO_SNDBUF, &Bytes, sizeof Bytes);
+  int SegmentBytes = callers::callerSegmentBytes(Bytes);
+  setsockopt(Fd, IPPROTO_TCP, TCP_MAXSEG, &SegmentBytes, sizeof SegmentBytes);
 }
 
 Transfer readInto(int Fd, std::string &Out) {
--- a/src/gateway/socket.h
+++ b/src/gateway/socket.h
@@ -28,7 +28,8 @@
 // The same with a limit, about which the last read may go by its size. Sets PeerEnded and returns
 // Done if the peer shut down its sending side; it may still receive.
 Transfer readInto(int Fd, std::string &Out, size_t Limit, bool &PeerEnded);
-// Sets the sizes of the kernel's buffers. Accepted sockets inherit them from a listening one.
+// Sets the sizes of the kernel's buffers, and segments that fit into them. Accepted sockets inherit
+// both from a listening one.
 void setBufferSizes(int Fd, int Bytes);
 // Whether the peer has acknowledged all that was sent, and the connection has not failed.
 bool allAcknowledged(int Fd);
--- a/src/session/entry_socket.cpp
+++ b/src/session/entry_socket.cpp
@@ -90,6 +90,7 @@
   int Bytes = callers::callerSocketBytes(this->Budget.limits());
   setOption(Fd, SOL_SOCKET, SO_RCVBUF, Bytes);
   setOption(Fd, SOL_SOCKET, SO_SNDBUF, Bytes);
+  setOption(Fd, IPPROTO_TCP, TCP_MAXSEG, callers::callerSegmentBytes(Bytes));
   auto *Any = reinterpret_cast<sockaddr *>(&Address);
   if (bind(Fd, Any, Length) < 0 || ::listen(Fd, ListenBacklog) < 0 ||
       getsockname(Fd, Any, &Length) < 0) {
