--- a/review/standin-3/group.cpp
+++ b/review/standin-3/group.cpp
@@ -33,6 +33,16 @@
   return "ERR " + Code + " " + Text + "\r\n";
 }
 
+// Cuts the log of a replica to what it has in common with that of the primary.
+void rollBack(Server &Replica, const Server &Primary) {
+  size_t Common = 0;
+  while (Common < Replica.Log.size() && Common < Primary.Log.size() &&
+         Replica.Log[Common].Id == Primary.Log[Common].Id &&
+         Replica.Log[Common].Term == Primary.Log[Common].Term)
+    ++Common;
+  Replica.Log.resize(Common);
+}
+
 } // namespace
 
 struct Group::Session {
@@ -209,11 +219,7 @@
       continue;
     R->HeldTerm = 0;
     R->Term = this->CurrentTerm;
-    size_t Common = 0;
-    while (Common < R->Log.size() && Common < S->Log.size() &&
-           R->Log[Common].Id == S->Log[Common].Id && R->Log[Common].Term == S->Log[Common].Term)
-      ++Common;
-    R->Log.resize(Common);
+    rollBack(*R, *S);
   }
   S->Leads = true;
   this->Changed.notify_all();
@@ -257,6 +263,9 @@
       bool Held = R->HeldTerm > R->Term;
       if (R.get() == P.get() || !R->Up || R->Leads || R->Deaf || Held || R->Term > P->Term)
         continue;
+      // What it has and the primary of a newer term lacks is rolled back.
+      if (R->Term != P->Term)
+        rollBack(*R, *P);
       R->Term = P->Term;
       for (size_t I = R->Log.size(); I < P->Log.size(); ++I) {
         if (P->Log[I].AtMs + R->ReceiveDelayMs > Now)
