--- a/review/standin-3/group.cpp
+++ b/review/standin-3/group.cpp
@@ -476,6 +476,7 @@
     return errorLine("MALFORMED", S.Id);
   if (C.State == Session::Tx::Open && !S.Leads && !(Word == "COMMIT" && C.Writes.empty())) {
     C.State = Word == "COMMIT" ? Session::Tx::None : Session::Tx::Failed;
+    C.Writes.clear();
     return errorLine("READONLY", S.Id);
   }
   bool Writes = Word == "WRITE";
