One call to the store reads the claims for all services and keepers of members

Each of the keepers read the claims by itself, eight times an instance when servers were replaced, and instances tried at the same time.

Requests that are made at the same time now share one read (ClaimReader), which also tells the members to all routers; one instance by rendezvous rank acts at once and the others a second later, when they find the row written. A process reads the claims for the first time when a proof or a commit needs them.

--- a/src/gateway/commits.h
+++ b/src/gateway/commits.h
@@ -23,6 +23,8 @@
   // Calls Done once enough replicas are known to hold the commit that Leader acknowledged; with
   // false once a later term has begun, or at Deadline.
   void prove(const TargetId &Leader, LogPosition Commit, Instant Deadline, Handler Done);
+  // Whether a proof is pending.
+  bool waiting() const { return !this->Pending.empty(); }
   // Whether a commit waits to learn that no change of primary is under way.
   bool awaitsSettled() const;
   // See placement::CommitEvidence.
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -1,5 +1,7 @@
 #include "gateway/gateway.h"
 
+#include "placement/rendezvous.h"
+
 #include <algorithm>
 #include <utility>
 
@@ -18,6 +20,8 @@
 constexpr uint64_t SaveJitterMs = 4000;
 // Interval of the reads of the claims while a change of primary is under way.
 constexpr absl::Duration ClaimCheckInterval = absl::Milliseconds(200);
+// Time in which the first instance names other members, before the others try.
+constexpr absl::Duration MemberTurnDelay = absl::Seconds(1);
 
 } // namespace
 
@@ -46,16 +50,18 @@
           [this](const catalog::ServiceName &Service) { return this->router(Service); }),
       Groups(InLoop, Rows, absl::Milliseconds(this->Options.Seed % SaveJitterMs),
              this->Options.GroupGrowthDelay),
-      Claims(Rows, this->Options.Self), Promotions(Promotions), Reader(Reader),
-      LastTick(InLoop.now()), Callers({.InLoop = InLoop,
-                                       .Protocol = Protocol,
-                                       .Counters = Counters,
-                                       .Host = *this,
-                                       .Limits = this->Limits},
-                                      {.Address = this->Options.CallerAddress,
-                                       .MaxSessions = this->Options.MaxSessions,
-                                       .MemoryLimitBytes = this->Options.MemoryLimitBytes,
-                                       .Times = this->Options.Times}) {
+      Claims(Rows, this->Options.Self),
+      ReadClaims(InLoop, this->Claims, [this] { return this->knownLeads(); }),
+      Promotions(Promotions), Reader(Reader), LastTick(InLoop.now()),
+      Callers({.InLoop = InLoop,
+               .Protocol = Protocol,
+               .Counters = Counters,
+               .Host = *this,
+               .Limits = this->Limits},
+              {.Address = this->Options.CallerAddress,
+               .MaxSessions = this->Options.MaxSessions,
+               .MemoryLimitBytes = this->Options.MemoryLimitBytes,
+               .Times = this->Options.Times}) {
   using Kind = PeerLink::Kind;
   for (Kind K : {Kind::kRateRequest, Kind::kRateGrant, Kind::kRateHolder})
     this->Peers.handle(K, [this](const InstanceId &From, const proto::Envelope &M) {
@@ -64,6 +70,7 @@
 }
 
 Result<void> Gateway::start() {
+  this->ReadClaims.OnAnswer = [this](const ClaimReader::Answer &Read) { this->onClaims(Read); };
   BOOST_LEAF_CHECK(this->Callers.start());
   BOOST_LEAF_CHECK(this->Peers.start());
   this->Instances.OnAlive = [this](const std::map<InstanceId, InstanceAddress> &Alive) {
@@ -136,11 +143,9 @@
           .Protocol = this->Protocol,
           .Counters = this->Counters,
           .Claims = this->Claims,
+          .Reader = this->ReadClaims,
           .StoreNowMs = [this] { return this->Instances.storeNowMs(); },
-          .Delay =
-              [this, Name] {
-                return spreadDelay(this->Options.Self, Name, this->Instances.aliveCount());
-              },
+          .Delay = [this, Name] { return this->memberDelay(Name); },
           .ReadTargets = [this](const std::function<void(bool)> &Done) { this->readTargets(Done); },
           .ChangeRunning = [Changes = S.Changes.get()] { return Changes->running(); }},
       *S.Router);
@@ -312,21 +317,14 @@
       });
 }
 
-// Reads the claims until the members of all services are known. Before that, no server counts.
-void Gateway::readMembers() {
-  Instant Now = this->InLoop.now();
-  bool Missing = std::any_of(this->Services.begin(), this->Services.end(),
-                             [](const auto &S) { return !S.second.Router->group().known(); });
-  if (!Missing || this->ReadingMembers || Now < this->NextMemberRead)
-    return;
-  this->ReadingMembers = true;
-  this->NextMemberRead = Now + ClaimCheckInterval;
-  this->Counters.add("members_read");
-  this->Claims.readAll([this, Now](const std::optional<promotion::ClaimTable> &Found) {
-    this->ReadingMembers = false;
-    if (Found)
-      this->noteMembers(*Found, Now);
+absl::Duration Gateway::memberDelay(const catalog::ServiceName &Service) const {
+  double Own = placement::rendezvousRank(Service.Value, this->Options.Self.Value, 1);
+  bool First = std::all_of(this->Alive.begin(), this->Alive.end(), [&](const auto &I) {
+    return placement::rendezvousRank(Service.Value, I.first.Value, 1) >= Own;
   });
+  if (First)
+    return absl::ZeroDuration();
+  return MemberTurnDelay + spreadDelay(this->Options.Self, Service, this->Instances.aliveCount());
 }
 
 // A service that never had a claim has no row, which names no members.
@@ -340,29 +338,26 @@
   }
 }
 
-// Reads the claims if a commit waits to learn that no change of primary is under way.
+// Reads the claims if a commit waits to learn that no change of primary is under way, or if a proof
+// waits to learn who counts.
 void Gateway::checkClaims() {
   Instant Now = this->InLoop.now();
   bool Awaited = std::any_of(this->Services.begin(), this->Services.end(), [](const auto &S) {
-    return S.second.Router->commits().awaitsSettled();
+    ServiceRouter &Router = *S.second.Router;
+    return Router.commits().awaitsSettled() ||
+           (!Router.group().known() && (Router.commits().waiting() || Router.prover().waiting()));
   });
   if (!Awaited || this->CheckingClaims || Now < this->NextClaimCheck)
     return;
   this->CheckingClaims = true;
   this->NextClaimCheck = Now + ClaimCheckInterval;
   this->Counters.add("claims_read");
-  // The claims are compared with what was known when they were asked for: a term that begins later
-  // may be that of an order which was executed after the answer was given.
-  this->Claims.readAll(
-      [this, Now, Leads = this->knownLeads()](const std::optional<promotion::ClaimTable> &Found) {
-        this->CheckingClaims = false;
-        if (Found)
-          this->onClaims(*Found, Leads, Now);
-      });
+  this->ReadClaims.read(
+      [this](const std::optional<ClaimReader::Answer> &) { this->CheckingClaims = false; });
 }
 
-Gateway::KnownLeads Gateway::knownLeads() const {
-  KnownLeads Out;
+ClaimReader::KnownLeads Gateway::knownLeads() const {
+  ClaimReader::KnownLeads Out;
   for (const auto &[Name, S] : this->Services) {
     TargetPool *Leader = S.Router->primary();
     Out[Name] = {.NewestTerm = std::max(S.Router->newestTerm(), S.Router->lead().newestTerm()),
@@ -371,12 +366,13 @@
   return Out;
 }
 
-void Gateway::onClaims(const promotion::ClaimTable &Found, const KnownLeads &Leads, Instant Asked) {
+void Gateway::onClaims(const ClaimReader::Answer &Read) {
   Instant Answered = monotonicNow();
-  this->noteMembers(Found, Asked);
+  const promotion::ClaimTable &Found = Read.Claims;
+  this->noteMembers(Found, Read.Asked);
   for (auto &[Name, S] : this->Services) {
-    auto Known = Leads.find(Name);
-    if (Known == Leads.end())
+    auto Known = Read.Leads.find(Name);
+    if (Known == Read.Leads.end())
       continue;
     const promotion::KnownLead &Lead = Known->second;
     CommitProver &Commits = S.Router->commits();
@@ -386,7 +382,7 @@
       State = Claim->second.Row ? promotion::claimState(*Claim->second.Row, Lead, Found.StoreNowMs)
                                 : promotion::ClaimState::Abandoned;
     if (State == promotion::ClaimState::Settled)
-      Commits.onSettled(Asked, Answered, Lead.NewestTerm);
+      Commits.onSettled(Read.Asked, Answered, Lead.NewestTerm);
     else if (State == promotion::ClaimState::Abandoned && !S.Changes->running() &&
              Commits.awaitsSettled())
       this->endAbandonedClaim(Name, Claim->second);
@@ -470,7 +466,6 @@
       S.Members->tick();
     }
   }
-  this->readMembers();
   this->checkClaims();
   this->updateReadiness();
   this->Callers.tick(Now);
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -99,11 +99,10 @@
   void applyRateLimits();
   void readTargets(const std::function<void(bool)> &Done);
   void checkClaims();
-  void readMembers();
+  absl::Duration memberDelay(const catalog::ServiceName &Service) const;
   void noteMembers(const promotion::ClaimTable &Found, Instant Asked);
-  using KnownLeads = std::map<catalog::ServiceName, promotion::KnownLead>;
-  KnownLeads knownLeads() const;
-  void onClaims(const promotion::ClaimTable &Found, const KnownLeads &Leads, Instant Asked);
+  ClaimReader::KnownLeads knownLeads() const;
+  void onClaims(const ClaimReader::Answer &Read);
   void endAbandonedClaim(const catalog::ServiceName &Service,
                          const promotion::ClaimTable::Entry &Found);
   void continueDrain();
@@ -126,12 +125,11 @@
   SharedSamples Samples;
   GroupSizes Groups;
   promotion::Claimer Claims;
+  ClaimReader ReadClaims;
   Promoter &Promotions;
   TargetReader &Reader;
   Instant NextClaimCheck = absl::InfinitePast();
   bool CheckingClaims = false;
-  Instant NextMemberRead = absl::InfinitePast();
-  bool ReadingMembers = false;
   std::map<catalog::ServiceName, ServiceState> Services;
   std::map<TargetId, catalog::ServiceName> ServiceOf;
   std::map<TargetId, std::string> Unreadable; // targets whose registration is unreadable, and why
--- a/src/gateway/members.cpp
+++ b/src/gateway/members.cpp
@@ -14,6 +14,28 @@
 
 } // namespace
 
+void ClaimReader::read(Handler Done) {
+  this->Waiting.push_back(std::move(Done));
+  if (this->Waiting.size() == 1)
+    this->InLoop.at(this->InLoop.now(), [this] { this->issue(); });
+}
+
+// The claims are compared with what was known when they were asked for: a term that begins later
+// may be that of an order which was executed after the answer was given.
+void ClaimReader::issue() {
+  this->Claims.readAll(
+      [this, Handlers = std::exchange(this->Waiting, {}), Known = this->Leads(),
+       Asked = this->InLoop.now()](const std::optional<promotion::ClaimTable> &Found) {
+        std::optional<Answer> Read;
+        if (Found)
+          Read = {.Claims = *Found, .Leads = Known, .Asked = Asked};
+        if (Read && this->OnAnswer)
+          this->OnAnswer(*Read);
+        for (const Handler &Done : Handlers)
+          Done(Read);
+      });
+}
+
 MemberKeeper::MemberKeeper(MemberDependencies Deps, ServiceRouter &Router)
     : Deps(std::move(Deps)), Router(Router) {}
 
@@ -66,49 +88,43 @@
 }
 
 bool MemberKeeper::differs() const {
-  return this->Router.namedMembers() && this->Router.limits().AcknowledgedCopies > 0 &&
-         this->Router.primary() && this->wanted() != *this->Router.namedMembers();
+  if (this->Router.limits().AcknowledgedCopies == 0 || !this->Router.primary())
+    return false;
+  const std::optional<roster::Members> &Named = this->Router.namedMembers();
+  return !Named || this->wanted() != *Named;
 }
 
 void MemberKeeper::readRow() {
   this->Current = Round();
-  TargetPool *Leader = this->Router.primary();
-  promotion::KnownLead Lead{
-      .NewestTerm = std::max(this->Router.newestTerm(), this->Router.lead().newestTerm()),
-      .Leader = Leader ? std::optional(Leader->entry().Id) : std::nullopt};
   this->Deps.Counters.add("member_rounds");
-  this->Deps.Claims.readAll(
-      [this, Lead, Asked = this->Deps.InLoop.now()](
-          const std::optional<promotion::ClaimTable> &Found) { this->onRow(Found, Lead, Asked); });
+  this->Deps.Reader.read(
+      [this](const std::optional<ClaimReader::Answer> &Read) { this->onRow(Read); });
 }
 
-void MemberKeeper::onRow(const std::optional<promotion::ClaimTable> &Found,
-                         const promotion::KnownLead &Lead, Instant Asked) {
-  if (!Found) {
+void MemberKeeper::onRow(const std::optional<ClaimReader::Answer> &Read) {
+  if (!Read) {
     // The outage may also hide registrations.
     this->AbsentSince.clear();
     this->endRound(RetryInterval);
     return;
   }
-  auto Claim = Found->Claims.find(this->Router.name().Value);
-  if (Claim != Found->Claims.end())
-    this->Current->Found = Claim->second;
-  const Row &R = this->Current->Found;
-  if (R.Row || Claim == Found->Claims.end())
-    this->Router.noteMembers(R.Row ? R.Row->Members : roster::Members(), Asked);
   promotion::ClaimState State = promotion::ClaimState::Settled;
-  if (Claim != Found->Claims.end())
-    State = R.Row ? promotion::claimState(*R.Row, Lead, Found->StoreNowMs)
-                  : promotion::ClaimState::Abandoned;
-  if (this->Deps.ChangeRunning() || State == promotion::ClaimState::Changing) {
-    this->endRound(RetryInterval);
-  } else if (State == promotion::ClaimState::Abandoned) {
-    this->endAbandoned(R);
-  } else if (!this->differs()) {
+  auto Claim = Read->Claims.Claims.find(this->Router.name().Value);
+  auto Lead = Read->Leads.find(this->Router.name());
+  if (Claim != Read->Claims.Claims.end()) {
+    this->Current->Found = Claim->second;
+    State = Claim->second.Row && Lead != Read->Leads.end()
+                ? promotion::claimState(*Claim->second.Row, Lead->second, Read->Claims.StoreNowMs)
+                : promotion::ClaimState::Abandoned;
+  }
+  if (!this->differs())
     this->endRound(absl::ZeroDuration());
-  } else {
+  else if (this->Deps.ChangeRunning() || State == promotion::ClaimState::Changing)
+    this->endRound(RetryInterval);
+  else if (State == promotion::ClaimState::Abandoned)
+    this->endAbandoned(this->Current->Found);
+  else
     this->chooseMembers();
-  }
 }
 
 void MemberKeeper::endAbandoned(const Row &Found) {
--- a/src/gateway/members.h
+++ b/src/gateway/members.h
@@ -9,16 +9,47 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <utility>
+#include <vector>
 
 namespace toucan::gateway {
 
+// Reads the claims of all services. Requests that are made at the same time share one call to the
+// store. Done runs on the loop's thread, with nothing if the store does not answer.
+class ClaimReader {
+public:
+  using KnownLeads = std::map<catalog::ServiceName, promotion::KnownLead>;
+  struct Answer {
+    promotion::ClaimTable Claims;
+    KnownLeads Leads; // as known when the claims were asked for
+    Instant Asked;
+  };
+  using Handler = std::function<void(const std::optional<Answer> &)>;
+
+  ClaimReader(Loop &InLoop, promotion::Claimer &Claims, std::function<KnownLeads()> Leads)
+      : InLoop(InLoop), Claims(Claims), Leads(std::move(Leads)) {}
+  void read(Handler Done);
+  // Called with each answer before the handlers of the requests.
+  std::function<void(const Answer &)> OnAnswer;
+
+private:
+  void issue();
+
+  Loop &InLoop;
+  promotion::Claimer &Claims;
+  std::function<KnownLeads()> Leads;
+  std::vector<Handler> Waiting; // for the next call
+};
+
 struct MemberDependencies {
   Loop &InLoop;
   Codec &Protocol;
   Metrics &Counters;
   promotion::Claimer &Claims;
+  ClaimReader &Reader;
   std::function<int64_t()> StoreNowMs; // estimate of the store's clock
-  // Time after which this instance acts on a difference; differs between instances.
+  // Time after which this instance acts on a difference. One instance acts at once. The others do
+  // so later, and most of them then find the row written.
   std::function<absl::Duration()> Delay;
   // Updates the list of targets from the directory; Done tells whether that succeeded.
   std::function<void(std::function<void(bool Read)> Done)> ReadTargets;
@@ -52,8 +83,7 @@
   roster::Members wanted() const;
   bool differs() const;
   void readRow();
-  void onRow(const std::optional<promotion::ClaimTable> &Found, const promotion::KnownLead &Lead,
-             Instant Asked);
+  void onRow(const std::optional<ClaimReader::Answer> &Read);
   void endAbandoned(const Row &Found);
   void chooseMembers();
   bool dropsMember() const;
--- a/src/gateway/prover.cpp
+++ b/src/gateway/prover.cpp
@@ -53,9 +53,11 @@
 
 bool LeadProver::enoughWitnesses() const {
   uint32_t Needed = this->Router.lead().witnessesNeeded();
+  const roster::Roster &Group = this->Router.group();
   std::vector<TargetPool *> All = this->candidates();
-  auto Members = std::count_if(All.begin(), All.end(), [this](const TargetPool *P) {
-    return this->Router.group().counts(P->entry().Id);
+  // While the members are not known, any of them may be one.
+  auto Members = std::count_if(All.begin(), All.end(), [&Group](const TargetPool *P) {
+    return !Group.known() || Group.counts(P->entry().Id);
   });
   return static_cast<uint32_t>(Members) >= Needed;
 }
--- a/src/gateway/prover.h
+++ b/src/gateway/prover.h
@@ -46,6 +46,8 @@
   // Since when the primary is known, needs witnesses, and no other target answers; infinite future
   // otherwise.
   Instant witnessesMissingSince() const { return this->WitnessesMissingSince; }
+  // Whether a proof is pending.
+  bool waiting() const { return !this->Pending.empty(); }
   // Asks further targets for overdue proofs and ends proofs whose deadline has passed.
   void tick();
   // Ends the proofs that can be decided now. Called after new evidence.
