A primary that is promoted again and is not running is forgotten

What callers saw: the daemon that changes the primary would end with std::out_of_range, and all its callers with it.

Cause: onPromote(NotRunning) erased the candidate from the members and kept it as the primary where the candidate was the primary that had stepped down. forgetPrimary() then looks it up. Change: removeMember() does both, also for onTargetRemoved().

--- a/src/promotion/change.cpp
+++ b/src/promotion/change.cpp
@@ -583,10 +583,10 @@
     return this->finish("superseded");
   case PromoteOutcome::NotRunning:
     this->voidOrder();
+    this->removeMember(*this->Candidate);
     // The survey must show again that enough replicas answer, and the primary that it does not
     // lead.
     this->Fence = FenceState::Unasked;
-    this->Members.erase(*this->Candidate);
     this->Candidate.reset();
     this->Successor.reset();
     this->chooseSuccessor();
@@ -657,16 +657,22 @@
 
 // A target that is gone does not answer any more. The size of the group still counts it, unless
 // another one has taken its place.
+// The target may be the primary that stepped down and was to be promoted again.
+void PrimaryChange::removeMember(const TargetId &Id) {
+  this->Members.erase(Id);
+  if (this->Primary != Id)
+    return;
+  this->Primary.reset();
+  this->FinalPosition.reset();
+  this->RestoreAt = absl::InfiniteFuture();
+  this->Fence = FenceState::Unreached;
+}
+
 std::vector<Action> PrimaryChange::onTargetRemoved(const TargetId &Id, Instant Now) {
-  if (this->CurrentPhase == Phase::Finished || this->Members.erase(Id) == 0)
+  if (this->CurrentPhase == Phase::Finished || !this->Members.contains(Id))
     return {};
   bool WasCandidate = this->Candidate == Id;
-  if (this->Primary == Id) {
-    this->Primary.reset();
-    this->FinalPosition.reset();
-    this->RestoreAt = absl::InfiniteFuture();
-    this->Fence = FenceState::Unreached;
-  }
+  this->removeMember(Id);
   if (this->Successor == Id) {
     this->Successor.reset();
     this->chooseSuccessor();
--- a/src/promotion/change.h
+++ b/src/promotion/change.h
@@ -180,6 +180,7 @@
   bool ordered() const;
   void beginTerm(Term Newest, Instant Now);
   std::vector<Action> forgetPrimary(Instant Now);
+  void removeMember(const TargetId &Id);
   bool mayStillRun(const PendingOrder &O, Instant Now) const;
   void setOrders(const ClaimResult &R, Instant Now);
   bool setMembers(const roster::Members &Named);
--- a/src/promotion/change_test.cpp
+++ b/src/promotion/change_test.cpp
@@ -703,6 +703,28 @@
   CHECK(C.newTermStart()->InTerm == Term(5));
 }
 
+// Guards against the end of the process (std::out_of_range): the primary that was to be promoted
+// again was gone from the members, and forgotten as primary when a newer term was seen.
+TEST_CASE(
+    "failover: a primary that is promoted again and is not running is no longer the primary") {
+  PrimaryChange C = makeChange(ChangeKind::Failover);
+  C.start(at(0));
+  C.onStatus(A, replica(5), at(10));
+  C.onStatus(B, replica(5), at(10));
+  C.onClaim({.Outcome = ClaimOutcome::Granted, .Token = FencingToken(7)}, at(20));
+  C.onObserved(observed(leader(8, 1)), at(30));
+  C.onFenced(observed(replica(8)), at(40));
+  std::vector<Action> Out;
+  for (int Ms = 100; Ms < 1000 && !orderedTarget(Out); Ms += 50)
+    Out = C.onTimer(at(Ms));
+  REQUIRE(orderedTarget(Out) == P);
+  confirmRecord(C, 8, 1000);
+  CHECK(countActions(C.onPromote(PromoteOutcome::NotRunning, at(1010)), ActionKind::Status) == 2);
+  C.onStatus(A, replica(5, 2), at(1020));
+  CHECK_FALSE(C.finished());
+  CHECK(C.describeMembers().find("p:") == std::string::npos);
+}
+
 // Guards against a change that waits until its time limit for a server that has left.
 TEST_CASE("a target that is removed during the change is not waited for") {
   const TargetId Gone("gone");
