The row of a group's size takes precedence over what a starting process counts

Cause: before it has read the table, a process estimates the size from the registrations. One that started while a server and its replacement were both registered counted four, kept the larger of the estimate and the row, and wrote it. Change: the row replaces the estimate; a larger count goes through the growth delay as in a running process; the write is conditional on the version that was read.

In groups_test.cpp the store of the tests now carries out conditional writes, and the cases check that nothing is overwritten.

--- a/src/gateway/groups.cpp
+++ b/src/gateway/groups.cpp
@@ -38,8 +38,11 @@
       continue;
     }
     catalog::ServiceName Service(Row.Key);
-    this->Saved[Service] = Size;
-    this->Sizes[Service] = std::max(this->Sizes[Service], Size);
+    this->Saved[Service] = {.Size = Size, .Version = Row.Version};
+    bool WasEstimated = this->Estimated.erase(Service) > 0;
+    this->Sizes[Service] = WasEstimated ? Size : std::max(this->Sizes[Service], Size);
+    if (auto Known = this->Registered.find(Service); Known != this->Registered.end())
+      this->onRegisteredCount(Service, Known->second);
   }
 }
 
@@ -52,6 +55,7 @@
   }
   if (!this->Saved.contains(Service) && Now - this->Started < FirstStartWindow) {
     this->Sizes[Service] = Count;
+    this->Estimated.insert(Service);
     this->scheduleSave(this->Started + FirstStartWindow - Now);
     return;
   }
@@ -103,20 +107,23 @@
 
 void GroupSizes::save(const catalog::ServiceName &Service) {
   uint32_t Size = this->Sizes[Service];
-  auto It = this->Saved.find(Service);
-  if (Size == 0 || (It != this->Saved.end() && It->second >= Size))
+  SavedSize Found;
+  if (auto It = this->Saved.find(Service); It != this->Saved.end())
+    Found = It->second;
+  if (Found.Size >= Size)
     return;
-  this->Rows.overwrite(GroupTable, Service.Value, absl::StrCat(Size),
-                       [this, Service, Size](const store::WriteResult &R) {
-                         if (R.Outcome == store::WriteOutcome::Done) {
-                           this->Saved[Service] = std::max(this->Saved[Service], Size);
-                           return;
-                         }
-                         LogEvent(LogLevel::Warn, "group_size_not_written")
-                             .kv("service", Service.Value)
-                             .kv("cause", R.Cause);
-                         this->scheduleSave(RetryInterval);
-                       });
+  this->Rows.write(GroupTable, Service.Value, Found.Version, absl::StrCat(Size),
+                   [this, Service, Size](const store::WriteResult &R) {
+                     if (R.Outcome == store::WriteOutcome::Done) {
+                       this->Saved[Service] = {.Size = Size, .Version = R.Version};
+                       this->Estimated.erase(Service);
+                       return;
+                     }
+                     LogEvent(LogLevel::Warn, "group_size_not_written")
+                         .kv("service", Service.Value)
+                         .kv("cause", R.Cause);
+                     this->scheduleSave(RetryInterval);
+                   });
 }
 
 } // namespace toucan::gateway
--- a/src/gateway/groups.h
+++ b/src/gateway/groups.h
@@ -8,11 +8,14 @@
 
 #include <cstdint>
 #include <map>
+#include <set>
 
 namespace toucan::gateway {
 
 // Sizes never decrease: with a smaller size, a change of primary could lose a commit that only a
-// target which is down holds.
+// target which is down holds. Until the store was read, the size is estimated from the
+// registrations. A row takes precedence over the estimate, which may count a target and its
+// replacement.
 class GroupSizes {
 public:
   // WriteDelay postpones the writes of this instance. It differs between instances, so that one
@@ -43,8 +46,13 @@
 
   Loop &InLoop;
   store::RowStore &Rows;
+  struct SavedSize {
+    uint32_t Size = 0;
+    store::RowVersion Version;
+  };
   std::map<catalog::ServiceName, uint32_t> Sizes;
-  std::map<catalog::ServiceName, uint32_t> Saved;
+  std::set<catalog::ServiceName> Estimated; // sizes that no row has given
+  std::map<catalog::ServiceName, SavedSize> Saved;
   std::map<catalog::ServiceName, uint32_t> Registered;
   std::map<catalog::ServiceName, Instant> LargerSince;
   absl::Duration WriteDelay;
--- a/src/gateway/groups_test.cpp
+++ b/src/gateway/groups_test.cpp
@@ -22,18 +22,26 @@
         R.Rows.push_back(Row);
     this->InLoop.post([Done, R] { Done(R); });
   }
-  void write(const std::string &, const std::string &, store::RowVersion, const std::string &,
-             std::function<void(store::WriteResult)>) override {}
-  void overwrite(const std::string &, const std::string &Key, const std::string &Value,
-                 std::function<void(store::WriteResult)> Done) override {
+  void write(const std::string &, const std::string &Key, store::RowVersion Expected,
+             const std::string &Value, std::function<void(store::WriteResult)> Done) override {
     ++this->Writes;
-    this->Table[Key] = {.Key = Key, .Value = Value, .Version = store::RowVersion(1)};
-    this->InLoop.post([Done] { Done({.Outcome = store::WriteOutcome::Done}); });
+    store::Row &Row = this->Table[Key];
+    store::WriteResult R{.Outcome = store::WriteOutcome::Conflict, .Found = Row};
+    if (Row.Version == Expected) {
+      Row = {.Key = Key, .Value = Value, .Version = store::RowVersion(Expected.Value + 1)};
+      R = {.Outcome = store::WriteOutcome::Done, .Version = Row.Version};
+    }
+    this->InLoop.post([Done, R] { Done(R); });
+  }
+  void overwrite(const std::string &, const std::string &, const std::string &,
+                 std::function<void(store::WriteResult)>) override {
+    ++this->Overwrites;
   }
   Loop &InLoop;
   bool Down = false;
   int Reads = 0;
   int Writes = 0;
+  int Overwrites = 0;
   std::map<std::string, store::Row> Table;
 };
 
@@ -60,6 +68,7 @@
   }
   runFor(InLoop, absl::Seconds(12));
   CHECK(Rows.Writes == 1);
+  CHECK(Rows.Overwrites == 0);
   CHECK(Rows.Table["s"].Value == "3");
 }
 
@@ -102,3 +111,36 @@
   CHECK(G.settled(Service));
   CHECK(Rows.Reads == 2);
 }
+
+// Guards against a group that counts as larger for good (review/14): a process that starts while a
+// server and its replacement are both registered took them for two, and no lost primary was
+// replaced afterwards.
+TEST_CASE("group sizes: a row takes precedence over what a process finds registered at its start") {
+  Loop InLoop;
+  CountingRows Rows(InLoop);
+  Rows.Table["s"] = {.Key = "s", .Value = "3", .Version = store::RowVersion(1)};
+  GroupSizes G(InLoop, Rows, absl::ZeroDuration(), absl::Seconds(20));
+  G.start();
+  G.onRegisteredCount(Service, 4);
+  InLoop.at(InLoop.now() + absl::Seconds(3), [&] {
+    CHECK(G.size(Service) == 3);
+    G.onRegisteredCount(Service, 3);
+  });
+  runFor(InLoop, absl::Seconds(9));
+  CHECK(G.size(Service) == 3);
+  CHECK(Rows.Table["s"].Value == "3");
+}
+
+TEST_CASE("group sizes: a size that stays larger is written under the version that was read") {
+  Loop InLoop;
+  CountingRows Rows(InLoop);
+  Rows.Table["s"] = {.Key = "s", .Value = "3", .Version = store::RowVersion(7)};
+  GroupSizes G(InLoop, Rows, absl::ZeroDuration(), absl::Milliseconds(200));
+  G.start();
+  InLoop.at(InLoop.now() + absl::Milliseconds(50), [&] { G.onRegisteredCount(Service, 4); });
+  runFor(InLoop, absl::Milliseconds(800));
+  CHECK(G.size(Service) == 4);
+  CHECK(Rows.Table["s"].Value == "4");
+  CHECK(Rows.Table["s"].Version == store::RowVersion(8));
+  CHECK(Rows.Overwrites == 0);
+}
