--- a/src/gateway/members.cpp
+++ b/src/gateway/members.cpp
@@ -208,7 +208,7 @@
   for (const auto &[Id, Address] : roster::Members(R.Next)) {
     if (Id == R.Answers.Primary)
       continue;
-    this->ask(Id, [this, Id, OnAnswered](const std::optional<TargetStatus> &Status) {
+    this->ask(Id, [this, Id = Id, OnAnswered](const std::optional<TargetStatus> &Status) {
       if (Status)
         this->Current->Answers.OfReplicas[Id] = *Status;
       OnAnswered();
--- a/src/promotion/change.cpp
+++ b/src/promotion/change.cpp
@@ -50,7 +50,7 @@
 } // namespace
 
 PrimaryChange::PrimaryChange(Options Opts, std::vector<Member> Targets, Instant Now)
-    : Opts(Opts), Deadline(Now), GiveUpAt(Now + ChangeTimeout), StartedAt(Now) {
+    : Opts(std::move(Opts)), Deadline(Now), GiveUpAt(Now + ChangeTimeout), StartedAt(Now) {
   for (Member &M : Targets) {
     if (M.Primary)
       this->Primary = this->Believed = M.Id;
@@ -655,8 +655,6 @@
   return {};
 }
 
-// A target that is gone does not answer any more. The size of the group still counts it, unless
-// another one has taken its place.
 // The target may be the primary that stepped down and was to be promoted again.
 void PrimaryChange::removeMember(const TargetId &Id) {
   this->Members.erase(Id);
@@ -668,6 +666,7 @@
   this->Fence = FenceState::Unreached;
 }
 
+// A target that is gone does not answer any more. If it is a member it still counts, as missing.
 std::vector<Action> PrimaryChange::onTargetRemoved(const TargetId &Id, Instant Now) {
   if (this->CurrentPhase == Phase::Finished || !this->Members.contains(Id))
     return {};
