A server that is no member is promoted if it has enough, and the record of its order names it

Cause: only members were promoted, because the next change would not have asked another primary for its log. A server that had joined and was paused with the highest position kept every member from being promoted. Change: the conditional write that records the order names its target as a member; adding a member is always safe. What must be known of the members is unchanged.

--- a/src/gateway/changes.cpp
+++ b/src/gateway/changes.cpp
@@ -236,6 +236,9 @@
 }
 
 void ChangeRunner::recordOrder(const Action &A) {
+  TargetPool *P = this->Router.pool(A.Target);
+  if (!P)
+    return;
   LogEvent(LogLevel::Warn, "promote_decided")
       .kv("service", this->Router.name().Value)
       .kv("target", A.Target.Value)
@@ -244,7 +247,7 @@
       .kv("members", this->Change->describeMembers());
   this->Deps.Claims.recordOrder(
       this->Router.name().Value, this->Deps.StoreNowMs(),
-      {.Target = A.Target, .AboveTerm = A.InTerm, .Start = A.Start}, A.Void,
+      {.Target = A.Target, .AboveTerm = A.InTerm, .Start = A.Start}, P->entry().Address, A.Void,
       [this, Target = A.Target, ChangeGeneration = this->Generation](const ClaimResult &R) {
         LogEvent(LogLevel::Info, "promote_recorded")
             .kv("service", this->Router.name().Value)
--- a/src/promotion/change.cpp
+++ b/src/promotion/change.cpp
@@ -488,9 +488,6 @@
   const MemberState &S = It->second;
   if (this->mayRestore(Id, Now))
     return true;
-  // The members of the next change would not include a primary that is none.
-  if (!this->Opts.Group.counts(Id))
-    return false;
   if (this->FinalPosition && S.Paused && *S.Received >= *this->FinalPosition)
     return true;
   if (!this->enoughKnown(Now))
--- a/src/promotion/claim.cpp
+++ b/src/promotion/claim.cpp
@@ -164,7 +164,8 @@
 }
 
 void Claimer::recordOrder(const std::string &Service, int64_t StoreNowMs, RecordedOrder Order,
-                          const std::vector<RecordedOrder> &Void, const Handler &Done) {
+                          const std::string &Address, const std::vector<RecordedOrder> &Void,
+                          const Handler &Done) {
   const KnownClaim &Cached = this->KnownClaims[Service];
   if (!Cached.Row || Cached.Row->Holder != this->Self) {
     Done({.Outcome = ClaimOutcome::HeldByOther,
@@ -178,6 +179,9 @@
     return !mayStillRun(O, StoreNowMs) || std::find(Void.begin(), Void.end(), O) != Void.end();
   });
   Order.RecordedAtMs = StoreNowMs;
+  // While the row names nobody, every server counts.
+  if (!New.Members.empty())
+    New.Members[Order.Target] = Address;
   New.Orders.push_back(std::move(Order));
   auto OnConflict = [this, Service, Done](const store::WriteResult &) {
     const KnownClaim &Latest = this->KnownClaims[Service];
--- a/src/promotion/claim.h
+++ b/src/promotion/claim.h
@@ -109,10 +109,12 @@
   // StoreNowMs: the time on the store's clock, estimated from its answers.
   void claim(const std::string &Service, int64_t StoreNowMs, const Handler &Done);
   // Renews the claim and records that Order is about to be sent, with the token that Done gets.
-  // Orders in Void were answered and will not be executed any more. Fails if another instance has
-  // written the row since it was last read or written by this one.
+  // Orders in Void were answered and will not be executed any more. The target at Address becomes a
+  // member, so that later changes ask for its log. Fails if another instance has written the row
+  // since it was last read or written by this one.
   void recordOrder(const std::string &Service, int64_t StoreNowMs, RecordedOrder Order,
-                   const std::vector<RecordedOrder> &Void, const Handler &Done);
+                   const std::string &Address, const std::vector<RecordedOrder> &Void,
+                   const Handler &Done);
   // Records that the change has ended for which this instance took the claim, and the start of the
   // term that it saw begin. Other instances wait for the claim to expire all the same.
   void end(const std::string &Service, int64_t StoreNowMs, const std::optional<TermStart> &Start,
