--- a/src/roster/roster.cpp
+++ b/src/roster/roster.cpp
@@ -24,6 +24,9 @@
 
 } // namespace
 
+Roster::Roster(uint32_t Size, std::optional<Members> Named)
+    : Known(Named.has_value()), Size(Size), Named(std::move(Named).value_or(Members())) {}
+
 std::string describe(const Members &Named) {
   std::string Out;
   for (const auto &[Id, Address] : Named)
--- a/src/roster/roster.h
+++ b/src/roster/roster.h
@@ -38,8 +38,7 @@
   Roster() = default;
   // Size: servers of the group while none is being replaced. Named: by the row, empty before the
   // first start has ended, and nothing if the row was not read yet.
-  explicit Roster(uint32_t Size, std::optional<Members> Named = Members())
-      : Known(Named.has_value()), Size(Size), Named(std::move(Named).value_or(Members())) {}
+  explicit Roster(uint32_t Size, std::optional<Members> Named = Members());
 
   bool known() const { return this->Known; }
   // No server counts before the row was read. While the row names none, no server can have been
